--- /dev/null
+++ b/cmd/anvildyked/gateway.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/anvildyke/anvildyke/internal/configurer"
+	"github.com/anvildyke/anvildyke/internal/runner"
+	"github.com/anvildyke/anvildyke/platform"
+)
+
+// gatewayCommand is the first argument that starts the gateway on the users' platform.
+const gatewayCommand = "gateway"
+
+// runGateway serves on the users' platform with the settings file that the environment names.
+func runGateway() int {
+	cfg, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return configurer.ExitCode
+	}
+	store := platform.NewStore(cfg.Store)
+	g, err := runner.NewGateway(cfg, runner.GatewayParts{
+		Configs: store.Configs(),
+		Servers: store.Servers(func(zone string) (string, bool) {
+			region, ok := cfg.Regions[zone]
+			return region, ok
+		}),
+		Evacuations: store.Evacuations(),
+		VMs:         store.VMs(),
+		Directory: platform.Directory{
+			Store: store,
+		},
+		Format: platform.Exchange{},
+	}, os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	// The signals stay caught until the end, so that a second SIGTERM cuts no request.
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := g.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
--- a/cmd/anvildyked/main.go
+++ b/cmd/anvildyked/main.go
@@ -15,6 +15,9 @@
 )
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == gatewayCommand {
+		os.Exit(runGateway())
+	}
 	os.Exit(run())
 }
 
--- /dev/null
+++ b/internal/acceptor/acceptor.go
@@ -0,0 +1,263 @@
+// Package acceptor serves the callers of the gateway over HTTP: it reads their requests, passes them to the dispatcher and writes
+// the outcome.
+package acceptor
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/anvildyke/anvildyke/internal/blackboard"
+	"github.com/anvildyke/anvildyke/internal/classifier"
+	"github.com/anvildyke/anvildyke/internal/dispatcher"
+	"github.com/anvildyke/anvildyke/internal/router"
+	"github.com/anvildyke/anvildyke/internal/timer"
+)
+
+const (
+	// readTimeout bounds the reading of a request when the configuration states no bound.
+	readTimeout = 10 * time.Second
+	// writeTimeout bounds the writing of an answer to a caller that reads slowly.
+	writeTimeout = 10 * time.Second
+	// idleTimeout is how long an idle connection is kept. Callers reuse connections within the bound of the configuration, which
+	// may change while connections are open.
+	idleTimeout = 2 * time.Minute
+	// maxHeader bounds the headers of a request in bytes. Operators' bounds of up to this size hold.
+	maxHeader = 32 << 10
+	// maxBody bounds the body of a request in bytes when the configuration states no bound.
+	maxBody = 1 << 20
+	// defaultWait is the deadline of a request that states none, on a route without a timeout.
+	defaultWait = 30 * time.Second
+	// startRetry is when callers return to a VM that knows no configuration yet.
+	startRetry = 500 * time.Millisecond
+)
+
+// Format is the manner of speaking of the callers.
+type Format interface {
+	// ReadRequest returns the ID of a request and how long its caller waits, 0 when the caller does not say.
+	ReadRequest(h *fasthttp.RequestHeader) (id string, wait time.Duration, err error)
+	WriteMerged(resp *fasthttp.Response, m dispatcher.Merged)
+	WriteRefusal(resp *fasthttp.Response, status int, text string, retryAfter time.Duration)
+	// Echo sets the ID of the request on its answer.
+	Echo(resp *fasthttp.Response, id string)
+}
+
+// Runner runs requests.
+type Runner interface {
+	Run(ctx context.Context, r dispatcher.Request) dispatcher.Outcome
+}
+
+// Options are the collaborators of an Acceptor.
+type Options struct {
+	Board  *blackboard.Gateway
+	Runner Runner
+	Format Format
+	Timer  *timer.Service
+	Log    zerolog.Logger
+	// Draining reports whether the VM is about to stop.
+	Draining func() bool
+	Counts   *Counts
+}
+
+// Acceptor serves callers.
+type Acceptor struct {
+	o       Options
+	server  *fasthttp.Server
+	leaving *leaving
+	running atomic.Int64
+}
+
+// New returns an Acceptor that does not listen yet.
+func New(o Options) *Acceptor {
+	a := &Acceptor{
+		o:       o,
+		leaving: newLeaving(o.Timer),
+	}
+	a.server = &fasthttp.Server{
+		Handler:                      a.serve,
+		ErrorHandler:                 a.unreadable,
+		HeaderReceived:               a.bounds,
+		MaxRequestBodySize:           maxBody,
+		ReadBufferSize:               maxHeader,
+		ReadTimeout:                  readTimeout,
+		WriteTimeout:                 writeTimeout,
+		IdleTimeout:                  idleTimeout,
+		CloseOnShutdown:              true,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		DisablePreParseMultipartForm: true,
+		Logger:                       discard{},
+	}
+	return a
+}
+
+// discard drops the messages of the HTTP server, which may quote parts of requests.
+type discard struct{}
+
+// Printf does nothing.
+func (discard) Printf(string, ...any) {}
+
+// Serve accepts callers until the listener is closed.
+func (a *Acceptor) Serve(l net.Listener) error {
+	return a.server.Serve(l)
+}
+
+// Run looks for callers that have left until ctx ends.
+func (a *Acceptor) Run(ctx context.Context) {
+	a.leaving.Run(ctx)
+}
+
+// Shutdown waits until all running requests are answered and closes the connections.
+func (a *Acceptor) Shutdown(ctx context.Context) error {
+	return a.server.ShutdownWithContext(ctx)
+}
+
+// Running returns the number of requests that are being answered.
+func (a *Acceptor) Running() int {
+	return int(a.running.Load())
+}
+
+// bounds returns the bounds of the configuration for the body of a request.
+func (a *Acceptor) bounds(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	limits := a.o.Board.Routes.Read().Limits
+	cfg := fasthttp.RequestConfig{
+		ReadTimeout:        readTimeout,
+		MaxRequestBodySize: maxBody,
+	}
+	if limits.BodyBytes > 0 {
+		cfg.MaxRequestBodySize = limits.BodyBytes
+	}
+	return cfg
+}
+
+func (a *Acceptor) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	switch err.(type) {
+	case *fasthttp.ErrSmallBuffer:
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	default:
+		if err == fasthttp.ErrBodyTooLarge {
+			status = fasthttp.StatusRequestEntityTooLarge
+		}
+	}
+	a.o.Log.Info().Int("Status", status).Err(err).Msg("A request cannot be read.")
+	a.o.Format.WriteRefusal(&ctx.Response, status, "The request cannot be read.", 0)
+	ctx.SetConnectionClose()
+}
+
+func (a *Acceptor) serve(ctx *fasthttp.RequestCtx) {
+	a.running.Add(1)
+	defer a.running.Add(-1)
+	defer a.recovered(ctx)
+	arrived := a.o.Timer.Now()
+	id, wait, err := a.o.Format.ReadRequest(&ctx.Request.Header)
+	if err != nil {
+		a.o.Log.Info().Str("Request", id).Err(err).Msg("A request is not valid.")
+		a.o.Format.WriteRefusal(&ctx.Response, fasthttp.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	a.answer(ctx, id, wait, arrived)
+	a.o.Format.Echo(&ctx.Response, id)
+	if a.o.Draining() {
+		ctx.SetConnectionClose()
+	}
+}
+
+// recovered answers after a fault of the gateway. A backend server may have run the request by then.
+func (a *Acceptor) recovered(ctx *fasthttp.RequestCtx) {
+	if fault := recover(); fault != nil {
+		a.o.Log.Error().Str("Fault", fmt.Sprint(fault)).Msg("A request handler panicked.")
+		ctx.Response.Reset()
+		a.o.Format.WriteRefusal(&ctx.Response, fasthttp.StatusBadGateway, classifier.Internal.Text(), 0)
+	}
+}
+
+func (a *Acceptor) answer(ctx *fasthttp.RequestCtx, id string, wait time.Duration, arrived time.Time) {
+	table := a.o.Board.Routes.Read()
+	if !table.Loaded {
+		a.refuse(ctx, id, "", dispatcher.Refused{
+			Code:       classifier.NotReady,
+			RetryAfter: startRetry,
+		})
+		return
+	}
+	h := &ctx.Request.Header
+	route := table.Match(string(h.Host()), string(h.RequestURI()))
+	if route == nil {
+		a.o.Log.Info().Str("Request", id).Uint64("Version", table.Version).Msg("No route matches the request.")
+		a.refuse(ctx, id, "", dispatcher.Refused{
+			Code: classifier.UnknownRoute,
+		})
+		return
+	}
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	r := request(ctx, table, route)
+	r.ID = id
+	r.Arrived = arrived
+	r.Deadline = arrived.Add(wait)
+	caller, left := context.WithCancel(context.Background())
+	defer left()
+	defer a.leaving.watch(ctx.Conn(), left)()
+	out := a.o.Runner.Run(caller, r)
+	a.o.Counts.observe(route, out, a.o.Timer.Now().Sub(arrived))
+	a.write(ctx, id, route, out)
+}
+
+// connectionHeaders concern one connection only and are not passed on. (RFC 9110, section 7.6.1)
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// request copies what attempts send, because they may outlast the handler.
+func request(ctx *fasthttp.RequestCtx, table *router.Table, route *router.Route) dispatcher.Request {
+	h := &fasthttp.RequestHeader{}
+	ctx.Request.Header.CopyTo(h)
+	for _, name := range connectionHeaders {
+		h.Del(name)
+	}
+	h.ResetConnectionClose()
+	h.SetNoDefaultContentType(true)
+	return dispatcher.Request{
+		Table:  table,
+		Route:  route,
+		Header: h,
+		Body:   append([]byte(nil), ctx.Request.Body()...),
+	}
+}
+
+func (a *Acceptor) write(ctx *fasthttp.RequestCtx, id string, route *router.Route, out dispatcher.Outcome) {
+	switch o := out.(type) {
+	case dispatcher.Whole:
+		o.Response.CopyTo(&ctx.Response)
+		fasthttp.ReleaseResponse(o.Response)
+		for _, name := range connectionHeaders {
+			ctx.Response.Header.Del(name)
+		}
+		ctx.Response.Header.ResetConnectionClose()
+	case dispatcher.Merged:
+		a.o.Format.WriteMerged(&ctx.Response, o)
+	case dispatcher.Refused:
+		a.refuse(ctx, id, route.Name, o)
+	}
+}
+
+func (a *Acceptor) refuse(ctx *fasthttp.RequestCtx, id, route string, r dispatcher.Refused) {
+	status := r.Code.HTTPStatus()
+	if r.Code == classifier.Cancelled {
+		// The caller has left; nobody reads the answer.
+		ctx.SetConnectionClose()
+		status = fasthttp.StatusBadGateway
+	}
+	if status == fasthttp.StatusServiceUnavailable && !r.Code.NotRun() {
+		status = fasthttp.StatusBadGateway
+	}
+	a.o.Log.Info().Str("Request", id).Str("Route", route).Stringer("Code", r.Code).Int("Status", status).Dur("RetryAfter", r.RetryAfter).Msg("The request was refused.")
+	a.o.Format.WriteRefusal(&ctx.Response, status, r.Code.Text(), r.RetryAfter)
+}
--- /dev/null
+++ b/internal/blackboard/gateway.go
@@ -0,0 +1,37 @@
+package blackboard
+
+import (
+	"github.com/anvildyke/anvildyke/internal/registrar"
+	"github.com/anvildyke/anvildyke/internal/router"
+)
+
+// Evacuated is the set of zones whose backend servers get nothing new.
+type Evacuated struct {
+	Revision uint64
+	Zones    map[string]struct{}
+}
+
+// Holds reports whether a zone is evacuated.
+func (e *Evacuated) Holds(zone string) bool {
+	_, ok := e.Zones[zone]
+	return ok
+}
+
+// Gateway is the blackboard of the gateway.
+type Gateway struct {
+	// Routes is written by follower. Its version never falls.
+	Routes Section[router.Table]
+	// Servers is written by follower.
+	Servers Section[registrar.View]
+	// Zones is written by follower.
+	Zones Section[Evacuated]
+	// Members is written by follower.
+	Members Section[Fleet]
+}
+
+// Fleet is the list of entry VMs.
+type Fleet struct {
+	Revision uint64
+	// Names are ordered.
+	Names []string
+}
--- /dev/null
+++ b/internal/configurer/gateway.go
@@ -0,0 +1,62 @@
+package configurer
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Gateway are the settings of a gateway.
+type Gateway struct {
+	// Name is that of the VM, unique in the deployment.
+	Name   string
+	Zone   string
+	Region string
+	// Regions maps each zone to its region.
+	Regions map[string]string
+	// Callers is where callers connect, Probes where the probes and metrics are served, Store the platform.
+	Callers netip.AddrPort
+	Probes  netip.AddrPort
+	Store   netip.AddrPort
+	// Peers is where other VMs connect, the zero value if they cannot.
+	Peers netip.AddrPort
+	// Seeds are the peer addresses of some VMs, which may be down.
+	Seeds []netip.AddrPort
+	// RenewPeriod is the period in which backend servers renew their entries.
+	RenewPeriod time.Duration
+	// DrainTimeout is how long a backend server goes on serving after its entry says that it leaves.
+	DrainTimeout time.Duration
+	// StopTimeout is the time between SIGTERM and SIGKILL.
+	StopTimeout time.Duration
+	// RetryRatio is the number of extra requests to a service for each first one in RetryWindow; RetryExtra more are allowed for
+	// all VMs together.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetryExtra  float64
+}
+
+// Check returns all faults of the settings, or nil.
+func (g *Gateway) Check() error {
+	var faults []error
+	for _, f := range []struct {
+		name string
+		ok   bool
+	}{
+		{"the name of the VM", g.Name != ""},
+		{"the zone", g.Zone != ""},
+		{"the region", g.Region != ""},
+		{"the list of zones", len(g.Regions) > 0},
+		{"the drain timeout", g.DrainTimeout > 0},
+		{"the time to stop", g.StopTimeout > 0},
+		{"the window of the retry budget", g.RetryWindow > 0},
+	} {
+		if !f.ok {
+			faults = append(faults, fmt.Errorf("%s is missing or not positive", f.name))
+		}
+	}
+	if g.RetryRatio < 0 || g.RetryExtra < 0 {
+		faults = append(faults, errors.New("the retry budget is negative"))
+	}
+	return errors.Join(faults...)
+}
--- a/internal/connector/stream.go
+++ b/internal/connector/stream.go
@@ -7,7 +7,8 @@
 	"syscall"
 )
 
-var errUnsolicited = errors.New("the backend server sent bytes that nobody asked for")
+// ErrUnsolicited says that bytes wait on a connection that should be idle.
+var ErrUnsolicited = errors.New("the peer sent bytes that nobody asked for")
 
 // stream counts the bytes that it writes and keeps the first error of the network, which tells a broken connection from an
 // answer that cannot be parsed. Reads and writes come from one goroutine; Close may come from another.
@@ -55,9 +56,15 @@
 	if s.raw == nil {
 		return nil
 	}
+	return CheckIdle(s.raw)
+}
+
+// CheckIdle returns an error if the peer has closed the connection (io.EOF for an orderly close) or if bytes wait on it
+// (ErrUnsolicited). It neither waits nor takes bytes off the connection.
+func CheckIdle(c syscall.RawConn) error {
 	var n int
 	var peekErr error
-	err := s.raw.Read(func(fd uintptr) bool {
+	err := c.Read(func(fd uintptr) bool {
 		var b [1]byte
 		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
@@ -72,6 +79,6 @@
 	case n == 0:
 		return io.EOF
 	default:
-		return errUnsolicited
+		return ErrUnsolicited
 	}
 }
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,223 @@
+// Package dispatcher sends the requests of callers to backend servers: it chooses servers, retries, hedges and merges, each
+// within its bounds, and ends every request with one outcome.
+package dispatcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/anvildyke/anvildyke/internal/blackboard"
+	"github.com/anvildyke/anvildyke/internal/classifier"
+	"github.com/anvildyke/anvildyke/internal/connector"
+	"github.com/anvildyke/anvildyke/internal/pooler"
+	"github.com/anvildyke/anvildyke/internal/registrar"
+	"github.com/anvildyke/anvildyke/internal/router"
+	"github.com/anvildyke/anvildyke/internal/spender"
+	"github.com/anvildyke/anvildyke/internal/timer"
+	"github.com/anvildyke/anvildyke/internal/tracker"
+)
+
+// Reply is a backend server's answer.
+type Reply struct {
+	Status int
+	// NotRun says that the server states it has not run the request and never will.
+	NotRun bool
+	// Misdirected says that another server has the address. The request has not run.
+	Misdirected bool
+	// Proof is the server's signature of its answer, empty if there is none.
+	Proof string
+	// Load is nil when the server reports none.
+	Load *tracker.Load
+	// IdleTimeout is how long the server keeps the connection open without requests, 0 when it does not say.
+	IdleTimeout time.Duration
+}
+
+// Succeeded reports whether the answer is a success that can be used.
+func (r *Reply) Succeeded() bool {
+	return r.Status >= 200 && r.Status < 300 && r.Proof != ""
+}
+
+// Format is the manner of speaking of the backend servers.
+type Format interface {
+	// Address sets what the server has to know: its own ID and the remaining time.
+	Address(req *fasthttp.Request, s *registrar.Server, remaining time.Duration)
+	// Owns reports whether an answer belongs to the request with the ID.
+	Owns(resp *fasthttp.Response, id string) bool
+	// Read decodes an answer.
+	Read(resp *fasthttp.Response) Reply
+}
+
+// Request is one request of a caller.
+type Request struct {
+	// ID is unique for each request of a caller.
+	ID    string
+	Table *router.Table
+	Route *router.Route
+	// Header and Body are sent on unchanged. They must stay unchanged until all attempts have ended.
+	Header *fasthttp.RequestHeader
+	Body   []byte
+	// Arrived is when the request was read.
+	Arrived time.Time
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+}
+
+// Outcome is how a request ends. It is sealed: Whole, Merged or Refused.
+type Outcome interface{ isOutcome() }
+
+// Whole is the answer of one backend server, to be passed on unchanged. The receiver releases Response.
+type Whole struct {
+	Response *fasthttp.Response
+}
+
+// Merged is the merged answer of several shards.
+type Merged struct {
+	// Proofs are those of the parts that are in Body, in no order.
+	Proofs []string
+	// Missing is the number of shards that are left out.
+	Missing int
+	Body    []byte
+}
+
+// Refused is the end of a request without an answer. Its code says whether a backend server may have run the request.
+type Refused struct {
+	Code classifier.Code
+	// RetryAfter is when a new attempt is expected to be served, 0 when nothing is known.
+	RetryAfter time.Duration
+}
+
+func (Whole) isOutcome()   {}
+func (Merged) isOutcome()  {}
+func (Refused) isOutcome() {}
+
+// Options are the collaborators of a Dispatcher.
+type Options struct {
+	Board   *blackboard.Gateway
+	Tracker *tracker.Tracker
+	Pooler  *pooler.Pooler
+	Spender *spender.Spender
+	Format  Format
+	Timer   *timer.Service
+	Log     zerolog.Logger
+	Counts  *Counts
+}
+
+// Dispatcher runs requests. Its methods are safe for concurrent use.
+type Dispatcher struct {
+	o Options
+}
+
+// New returns a Dispatcher.
+func New(o Options) *Dispatcher {
+	return &Dispatcher{
+		o: o,
+	}
+}
+
+const (
+	// returnMargin is the part of the latency target that is kept for the way between the caller and this VM and for the merge.
+	// The platform's pages state 3 ms one way, and a new connection takes two ways more.
+	returnMargin = 18 * time.Millisecond
+	// deadlineMargin is kept so that the final answer leaves before the caller's time is over.
+	deadlineMargin = 10 * time.Millisecond
+)
+
+// Run sends the request and returns its outcome. The end of ctx says that the caller has left.
+func (d *Dispatcher) Run(ctx context.Context, r Request) Outcome {
+	now := d.o.Timer.Now()
+	deadline := r.Deadline.Add(-deadlineMargin)
+	if r.Route.Timeout > 0 {
+		deadline = earlier(deadline, r.Arrived.Add(r.Route.Timeout))
+	}
+	if !now.Before(deadline) {
+		return Refused{
+			Code: classifier.ExpiredInQueue,
+		}
+	}
+	j := &job{
+		d:        d,
+		request:  r,
+		view:     d.o.Board.Servers.Read(),
+		zones:    d.o.Board.Zones.Read(),
+		deadline: deadline,
+	}
+	j.plan()
+	// Attempts may outlast the caller's answer, so they end with a context of their own.
+	attempts, cancel := context.WithDeadline(context.Background(), deadline)
+	j.ctx = attempts
+	j.cancel = cancel
+	return j.run(ctx)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// pick returns a service of a split by weight.
+func pick(shares []router.Share) string {
+	total := 0.0
+	for _, s := range shares {
+		total += s.Weight
+	}
+	x := rand.Float64() * total
+	for _, s := range shares {
+		if x -= s.Weight; x < 0 {
+			return s.Service
+		}
+	}
+	return shares[len(shares)-1].Service
+}
+
+// send runs one attempt at a server. It returns nil for the response when there is no usable answer.
+func (d *Dispatcher) send(ctx context.Context, r *Request, m registrar.Member, once bool) (*fasthttp.Response, Reply, error) {
+	now := d.o.Timer.Now()
+	dial, cancel := context.WithTimeout(ctx, dialTimeout)
+	link, reused, err := d.o.Pooler.Get(dial, m.Server, once, now)
+	cancel()
+	if err != nil {
+		return nil, Reply{}, err
+	}
+	resp, reply, err := d.exchange(ctx, r, m, link)
+	if err != nil && reused && classifier.Of(err) == classifier.NotSent && ctx.Err() == nil {
+		// The kept connection had ended before anything was sent on it; a new one tells whether the server is there.
+		dial, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		if link, _, err = d.o.Pooler.Get(dial, m.Server, once, now); err != nil {
+			return nil, Reply{}, err
+		}
+		resp, reply, err = d.exchange(ctx, r, m, link)
+	}
+	return resp, reply, err
+}
+
+// dialTimeout bounds the opening of a connection. Zones are tens of milliseconds apart, and a lost opening packet is sent again
+// only after a second.
+const dialTimeout = 400 * time.Millisecond
+
+func (d *Dispatcher) exchange(ctx context.Context, r *Request, m registrar.Member, link *connector.Link) (*fasthttp.Response, Reply, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	r.Header.CopyTo(&req.Header)
+	req.SetBodyRaw(r.Body)
+	deadline, _ := ctx.Deadline()
+	d.o.Format.Address(req, m.Server, deadline.Sub(d.o.Timer.Now()))
+	resp := fasthttp.AcquireResponse()
+	err := link.Exchange(ctx, req, resp, func(resp *fasthttp.Response) bool {
+		return d.o.Format.Owns(resp, r.ID)
+	})
+	if err != nil {
+		fasthttp.ReleaseResponse(resp)
+		_ = link.Close()
+		return nil, Reply{}, err
+	}
+	reply := d.o.Format.Read(resp)
+	d.o.Pooler.Put(m.Server, link, reply.IdleTimeout, d.o.Timer.Now())
+	return resp, reply, nil
+}
--- /dev/null
+++ b/internal/dispatcher/job.go
@@ -0,0 +1,459 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/anvildyke/anvildyke/internal/blackboard"
+	"github.com/anvildyke/anvildyke/internal/classifier"
+	"github.com/anvildyke/anvildyke/internal/registrar"
+	"github.com/anvildyke/anvildyke/internal/router"
+	"github.com/anvildyke/anvildyke/internal/spender"
+	"github.com/anvildyke/anvildyke/internal/tracker"
+)
+
+// shard is the part of a job that one service answers.
+type shard struct {
+	service router.Service
+	members []registrar.Member
+	// tried are the servers that have got the request.
+	tried []registrar.Key
+	// running is the number of attempts without an end.
+	running int
+	// ran is the number of attempts that a server may have run.
+	ran int
+	// sentAt is when the last attempt began.
+	sentAt time.Time
+	// failed says that no further attempt is made.
+	failed bool
+	// last is why the last attempt failed.
+	last classifier.Code
+	// response is the success, or the last failure with a proof.
+	response *fasthttp.Response
+	reply    Reply
+	done     bool
+}
+
+// result is the end of one attempt.
+type result struct {
+	shard    int
+	member   registrar.Member
+	flight   *tracker.Flight
+	response *fasthttp.Response
+	reply    Reply
+	err      error
+}
+
+// job is the run of one request.
+type job struct {
+	d        *Dispatcher
+	request  Request
+	view     *registrar.View
+	zones    *blackboard.Evacuated
+	deadline time.Time
+	// ctx ends the attempts.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	fanout  *router.Fanout
+	shards  []shard
+	results chan result
+	// running is the number of attempts without an end.
+	running int
+	// done and failed count the shards with and without a success.
+	done   int
+	failed int
+	// needed is the number of shards of a successful answer.
+	needed int
+	// hedgeAfter is the age at which an attempt gets a duplicate.
+	hedgeAfter time.Duration
+	// answerAt is when an answer that has enough shards is sent.
+	answerAt time.Time
+	gone     bool
+}
+
+// plan lists the shards of the request.
+func (j *job) plan() {
+	var services []string
+	switch dest := j.request.Route.Destination.(type) {
+	case router.Fanout:
+		services = dest.Shards
+		j.fanout = &dest
+	case router.Split:
+		services = []string{pick(dest.Shares)}
+	case router.Single:
+		services = []string{dest.Service}
+	}
+	j.shards = make([]shard, len(services))
+	for i, name := range services {
+		j.shards[i] = shard{
+			service: j.request.Table.Services[name],
+			members: j.usable(name),
+		}
+		j.shards[i].service.Name = name
+	}
+	j.needed = len(services)
+	if j.fanout != nil {
+		j.needed = least(j.fanout.LeastFraction, len(services))
+	}
+	j.results = make(chan result, maxSends*len(services))
+	j.hedgeAfter = j.hedgeDelay()
+	j.answerAt = j.deadline
+	if t := j.request.Route.Target; t > 0 {
+		j.answerAt = earlier(j.deadline, j.request.Arrived.Add(max(t/2, t-returnMargin)))
+	}
+}
+
+// least returns the smallest number of n shards that is at least the fraction, and at least 1.
+func least(fraction float64, n int) int {
+	for k := 1; k < n; k++ {
+		if float64(k)/float64(n) >= fraction {
+			return k
+		}
+	}
+	return n
+}
+
+// usable returns the servers of a service that may get the request.
+func (j *job) usable(service string) []registrar.Member {
+	all := j.view.ByService[service]
+	members := make([]registrar.Member, 0, len(all))
+	for _, m := range all {
+		if !j.zones.Holds(m.Zone) && j.request.Route.Allows(m.Region) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+const (
+	// hedgeLeast keeps duplicates from being sent for ordinary jitter.
+	hedgeLeast = 8 * time.Millisecond
+	// hedgeTarget is the part of the latency target that is left for the duplicate at the latest.
+	hedgeTarget = 0.45
+	// pollPeriod is the time between looks for due duplicates and free connections.
+	pollPeriod = 5 * time.Millisecond
+)
+
+func (j *job) hedgeDelay() time.Duration {
+	d := j.d.o.Tracker.Tail(j.request.Route.Name)
+	if t := j.request.Route.Target; t > 0 {
+		limit := time.Duration(hedgeTarget * float64(t))
+		if d == 0 {
+			d = limit
+		}
+		d = min(d, limit)
+	}
+	if d == 0 {
+		d = defaultHedge
+	}
+	return max(d, hedgeLeast)
+}
+
+// defaultHedge is the delay of duplicates on a route without a target and without answers.
+const defaultHedge = 100 * time.Millisecond
+
+// run sends to all shards and returns when the outcome is known.
+func (j *job) run(caller context.Context) Outcome {
+	now := j.d.o.Timer.Now()
+	for i := range j.shards {
+		j.d.o.Spender.First(j.shards[i].service.Name, now)
+	}
+	if out := j.hopeless(now); out != nil {
+		j.cancel()
+		return out
+	}
+	for i := range j.shards {
+		j.start(i, now)
+	}
+	tick := j.d.o.Timer.Subscribe(pollPeriod)
+	defer tick.Stop()
+	out := j.outcome(now)
+	for out == nil {
+		select {
+		case r := <-j.results:
+			now = j.d.o.Timer.Now()
+			j.finish(r, now)
+		case <-tick.C:
+			now = j.d.o.Timer.Now()
+			j.advance(now)
+		case <-caller.Done():
+			j.gone = true
+			j.cancel()
+			out = Refused{
+				Code: classifier.Cancelled,
+			}
+			continue
+		}
+		out = j.outcome(now)
+	}
+	j.release()
+	return out
+}
+
+// hopeless refuses a request at once when too many shards have no server that may get it.
+func (j *job) hopeless(now time.Time) Outcome {
+	served := 0
+	for i := range j.shards {
+		if len(j.shards[i].members) > 0 {
+			served++
+		}
+	}
+	if served >= j.needed {
+		return nil
+	}
+	j.d.o.Counts.Refused.Inc()
+	j.log(now, "no server").Int("Served", served).Msg("The request was refused because too few shards have a server.")
+	return Refused{
+		Code:       classifier.NoReplica,
+		RetryAfter: absentRetry,
+	}
+}
+
+// absentRetry is when callers return after a refusal for want of servers: entries that lapsed are back within two seconds, and
+// callers honor at most a third of their time.
+const absentRetry = 500 * time.Millisecond
+
+// start sends the request to a server of the shard, and reports whether it did.
+func (j *job) start(i int, now time.Time) bool {
+	s := &j.shards[i]
+	m, ok := j.d.o.Tracker.Choose(tracker.Ask{
+		Route:    j.request.Route,
+		Service:  s.service,
+		Members:  s.members,
+		Excluded: s.tried,
+		Now:      now,
+	})
+	if !ok {
+		return false
+	}
+	s.tried = append(s.tried, m.Key())
+	s.running++
+	s.sentAt = now
+	j.running++
+	a := &attempt{
+		job:    j,
+		shard:  i,
+		member: m,
+		flight: j.d.o.Tracker.Begin(m, j.request.Route.Name, now),
+	}
+	go a.run()
+	return true
+}
+
+// attempt is one send to one server.
+type attempt struct {
+	job    *job
+	shard  int
+	member registrar.Member
+	flight *tracker.Flight
+}
+
+func (a *attempt) run() {
+	j := a.job
+	resp, reply, err := j.d.send(j.ctx, &j.request, a.member, !j.request.Route.Idempotent)
+	a.flight.End(tracker.Report{
+		Ending: ending(reply, err),
+		Load:   reply.Load,
+	}, j.d.o.Timer.Now())
+	j.results <- result{
+		shard:    a.shard,
+		member:   a.member,
+		flight:   a.flight,
+		response: resp,
+		reply:    reply,
+		err:      err,
+	}
+}
+
+func ending(r Reply, err error) tracker.Ending {
+	if err != nil {
+		switch classifier.Of(err) {
+		case classifier.NotSent:
+			return tracker.Unreachable
+		case classifier.Timeout:
+			return tracker.Silent
+		case classifier.Cancelled:
+			return tracker.Abandoned
+		default:
+			return tracker.Failed
+		}
+	}
+	switch {
+	case r.Misdirected:
+		return tracker.Misdirected
+	case r.NotRun:
+		return tracker.Refused
+	case r.Succeeded():
+		return tracker.Answered
+	default:
+		return tracker.Failed
+	}
+}
+
+// finish takes the end of an attempt and decides about a further one.
+func (j *job) finish(r result, now time.Time) {
+	j.running--
+	s := &j.shards[r.shard]
+	s.running--
+	notRun := r.reply.NotRun || r.reply.Misdirected || r.err != nil && classifier.Of(r.err) == classifier.NotSent
+	if !notRun {
+		s.ran++
+	}
+	if s.done {
+		releaseResponse(r.response)
+		return
+	}
+	if r.err == nil && r.reply.Succeeded() {
+		releaseResponse(s.response)
+		s.response = r.response
+		s.reply = r.reply
+		s.done = true
+		if s.failed {
+			s.failed = false
+			j.failed--
+		}
+		j.done++
+		return
+	}
+	s.last = failure(r)
+	if r.response != nil && !notRun && j.fanout == nil && r.reply.Proof != "" {
+		releaseResponse(s.response)
+		s.response = r.response
+		s.reply = r.reply
+	} else {
+		releaseResponse(r.response)
+	}
+	j.retry(r.shard, notRun, now)
+}
+
+func releaseResponse(resp *fasthttp.Response) {
+	if resp != nil {
+		fasthttp.ReleaseResponse(resp)
+	}
+}
+
+func failure(r result) classifier.Code {
+	switch {
+	case r.err != nil:
+		return classifier.Of(r.err)
+	case r.reply.Misdirected:
+		return classifier.NoReplica
+	case r.reply.NotRun:
+		return classifier.Shed
+	default:
+		return classifier.BackendFailed
+	}
+}
+
+// retry sends the request to another server after a failure, or gives the shard up.
+func (j *job) retry(i int, notRun bool, now time.Time) {
+	s := &j.shards[i]
+	if s.failed {
+		return
+	}
+	if s.running > 0 {
+		return
+	}
+	code := s.last
+	if j.mayRepeat(s, notRun) && j.d.o.Spender.Spend(s.service.Name, spender.Retry, now) {
+		if j.start(i, now) {
+			j.d.o.Counts.Retries.Inc()
+			j.log(now, "retry").Str("Service", s.service.Name).Stringer("Cause", code).Int("Tried", len(s.tried)).Msg("The request was sent to another server after a failure.")
+			return
+		}
+	}
+	s.failed = true
+	j.failed++
+}
+
+// mayRepeat reports whether the shard may get another attempt after a failure.
+func (j *job) mayRepeat(s *shard, notRun bool) bool {
+	if !notRun && !j.request.Route.Idempotent {
+		return false
+	}
+	return s.ran+s.running < j.request.Route.Attempts && len(s.tried) < maxSends
+}
+
+// maxSends bounds the servers of a shard that a request is offered to, those that refused it included.
+const maxSends = 4
+
+// advance sends to shards that found no server before, and duplicates attempts that are late.
+func (j *job) advance(now time.Time) {
+	for i := range j.shards {
+		s := &j.shards[i]
+		if s.done || s.failed {
+			continue
+		}
+		if len(s.tried) == 0 {
+			j.start(i, now)
+			continue
+		}
+		if j.request.Route.Idempotent && s.running == 1 && now.Sub(s.sentAt) >= j.hedgeAfter && now.Before(j.answerAt) {
+			j.hedge(i, now)
+		}
+	}
+}
+
+func (j *job) hedge(i int, now time.Time) {
+	s := &j.shards[i]
+	if s.ran+s.running >= j.request.Route.Attempts || len(s.tried) >= maxSends || !j.hasAlternative(s, now) {
+		return
+	}
+	if !j.d.o.Spender.Spend(s.service.Name, spender.Hedge, now) {
+		j.d.o.Counts.HedgesDenied.Inc()
+		s.sentAt = now
+		return
+	}
+	age := now.Sub(s.sentAt)
+	if j.start(i, now) {
+		j.d.o.Counts.Hedges.Inc()
+		j.log(now, "hedge").Str("Service", s.service.Name).Dur("After", age).Msg("A late attempt was duplicated.")
+	}
+}
+
+// hasAlternative reports whether another server can take the request now.
+func (j *job) hasAlternative(s *shard, now time.Time) bool {
+	_, ok := j.d.o.Tracker.Choose(tracker.Ask{
+		Route:    j.request.Route,
+		Service:  s.service,
+		Members:  s.members,
+		Excluded: s.tried,
+		Now:      now,
+	})
+	return ok
+}
+
+// release leaves the attempts that still run to finish on their own: breaking them off would waste the work of the servers and
+// the connections.
+func (j *job) release() {
+	for i := range j.shards {
+		if j.shards[i].response != nil && !(j.fanout == nil) {
+			releaseResponse(j.shards[i].response)
+			j.shards[i].response = nil
+		}
+	}
+	if j.running == 0 {
+		j.cancel()
+		return
+	}
+	l := &leftover{
+		job: j,
+	}
+	go l.run()
+}
+
+// leftover waits for attempts whose result is no longer needed.
+type leftover struct {
+	job *job
+}
+
+func (l *leftover) run() {
+	defer l.job.cancel()
+	for range l.job.running {
+		r := <-l.job.results
+		releaseResponse(r.response)
+	}
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -20,26 +20,17 @@
 // Meter holds the metrics of one daemon. No metric has a label whose values come from callers.
 type Meter struct {
 	registry *prometheus.Registry
-	board    *blackboard.Board
+	phase    func() blackboard.Phase
 	server   *fasthttp.Server
 }
 
-// New returns a meter with the metrics of the Go runtime and of the blackboard.
-func New(board *blackboard.Board) *Meter {
+// NewProbe returns a meter with the metrics of the Go runtime. The VM is ready while phase returns PhaseReady.
+func NewProbe(phase func() blackboard.Phase) *Meter {
 	m := &Meter{
 		registry: prometheus.NewRegistry(),
-		board:    board,
+		phase:    phase,
 	}
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	m.Gauge("config_generation", "Installed configuration generation.", func() float64 {
-		return float64(board.Config.Read().Generation)
-	})
-	m.Gauge("members", "Entry VMs that are not known to be gone.", func() float64 {
-		return float64(countMembers(board.Members.Read()))
-	})
-	m.Gauge("held_replicas", "Backend servers that this VM holds.", func() float64 {
-		return float64(countHeld(board.Holdings.Read()))
-	})
 	m.Gauge("ready", "1 when the load balancer may send requests, else 0.", func() float64 {
 		if m.ready() {
 			return 1
@@ -53,6 +44,28 @@
 	return m
 }
 
+// Registry returns the registry of the metrics.
+func (m *Meter) Registry() prometheus.Registerer {
+	return m.registry
+}
+
+// New returns a meter with the metrics of the Go runtime and of the blackboard.
+func New(board *blackboard.Board) *Meter {
+	m := NewProbe(func() blackboard.Phase {
+		return board.Lifecycle.Read().Phase
+	})
+	m.Gauge("config_generation", "Installed configuration generation.", func() float64 {
+		return float64(board.Config.Read().Generation)
+	})
+	m.Gauge("members", "Entry VMs that are not known to be gone.", func() float64 {
+		return float64(countMembers(board.Members.Read()))
+	})
+	m.Gauge("held_replicas", "Backend servers that this VM holds.", func() float64 {
+		return float64(countHeld(board.Holdings.Read()))
+	})
+	return m
+}
+
 func countMembers(members *blackboard.Members) int {
 	n := 0
 	for _, zone := range members.ByZone {
@@ -90,7 +103,7 @@
 }
 
 func (m *Meter) ready() bool {
-	return m.board.Lifecycle.Read().Phase == blackboard.PhaseReady
+	return m.phase() == blackboard.PhaseReady
 }
 
 func (m *Meter) handler() fasthttp.RequestHandler {
@@ -110,7 +123,7 @@
 }
 
 func (m *Meter) probe(ctx *fasthttp.RequestCtx) {
-	phase := m.board.Lifecycle.Read().Phase
+	phase := m.phase()
 	if !m.ready() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
--- /dev/null
+++ b/internal/runner/gateway.go
@@ -0,0 +1,205 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/anvildyke/anvildyke/internal/acceptor"
+	"github.com/anvildyke/anvildyke/internal/blackboard"
+	"github.com/anvildyke/anvildyke/internal/configurer"
+	"github.com/anvildyke/anvildyke/internal/connector"
+	"github.com/anvildyke/anvildyke/internal/dispatcher"
+	"github.com/anvildyke/anvildyke/internal/drainer"
+	"github.com/anvildyke/anvildyke/internal/follower"
+	"github.com/anvildyke/anvildyke/internal/logger"
+	"github.com/anvildyke/anvildyke/internal/meter"
+	"github.com/anvildyke/anvildyke/internal/pooler"
+	"github.com/anvildyke/anvildyke/internal/recorder"
+	"github.com/anvildyke/anvildyke/internal/registrar"
+	"github.com/anvildyke/anvildyke/internal/router"
+	"github.com/anvildyke/anvildyke/internal/spender"
+	"github.com/anvildyke/anvildyke/internal/storer"
+	"github.com/anvildyke/anvildyke/internal/timer"
+	"github.com/anvildyke/anvildyke/internal/tracker"
+)
+
+const (
+	// balancerDelay is how long the balancer may go on sending after the VM reports that it is not ready: two probes, one a
+	// second, and the time to act.
+	balancerDelay = 2500 * time.Millisecond
+	// stopReserve is kept of the time to stop for the closing of connections.
+	stopReserve = time.Second
+	// lapseGrace is how long a server without an entry is used: servers that live renew lapsed entries within two seconds.
+	lapseGrace = 2 * time.Second
+	// lapseMargin is kept of a leaving server's time for the requests that it got last.
+	lapseMargin = time.Second
+	// housekeeping is the period of clearing what is no longer used.
+	housekeeping = 200 * time.Millisecond
+	// registerTimeout bounds a call that adds or removes this VM's name at the platform.
+	registerTimeout = time.Second
+	// registerRetry is the pause before the next try.
+	registerRetry = 500 * time.Millisecond
+)
+
+// Directory lists the entry VMs at the platform.
+type Directory interface {
+	Add(ctx context.Context, vm string) error
+	Remove(ctx context.Context, vm string) error
+}
+
+// GatewayFormat is the manner of speaking of callers and backend servers.
+type GatewayFormat interface {
+	acceptor.Format
+	dispatcher.Format
+}
+
+// GatewayParts are the collaborators of a Gateway that know the platform.
+type GatewayParts struct {
+	Configs     storer.Feed[router.Config]
+	Servers     storer.Feed[registrar.Server]
+	Evacuations storer.Feed[struct{}]
+	VMs         storer.Feed[struct{}]
+	Directory   Directory
+	Format      GatewayFormat
+}
+
+// Gateway passes requests of callers on to the platform's backend servers.
+type Gateway struct {
+	cfg     configurer.Gateway
+	parts   GatewayParts
+	board   *blackboard.Gateway
+	core    *blackboard.Board
+	timer   *timer.Service
+	logger  logger.Logger
+	log     zerolog.Logger
+	meter   *meter.Meter
+	tracker *tracker.Tracker
+	pooler  *pooler.Pooler
+	spender *spender.Spender
+	servers *follower.Servers
+	accept  *acceptor.Acceptor
+	drainer *drainer.Drainer
+	wg      sync.WaitGroup
+}
+
+// NewGateway builds the gateway. Logs go to w.
+func NewGateway(cfg configurer.Gateway, parts GatewayParts, w io.Writer) (*Gateway, error) {
+	l, err := logger.New(w, "info", cfg.Name)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{
+		cfg:    cfg,
+		parts:  parts,
+		board:  &blackboard.Gateway{},
+		core:   &blackboard.Board{},
+		timer:  timer.NewWall(),
+		logger: l,
+		log:    l.Part("runner"),
+		tracker: tracker.New(tracker.Config{
+			Zone:   cfg.Zone,
+			Region: cfg.Region,
+		}),
+		pooler: pooler.New(connector.NewHTTP()),
+		spender: spender.New(spender.Config{
+			Window: cfg.RetryWindow,
+			Ratio:  cfg.RetryRatio,
+			Extra:  cfg.RetryExtra,
+		}, assumedVMs),
+	}
+	g.tracker.SetVMs(assumedVMs)
+	g.meter = meter.NewProbe(g.phase)
+	g.servers = follower.NewServers(g.board, g.timer, l.Part("registrar"), registrar.Config{
+		Grace: max(0, min(lapseGrace, cfg.DrainTimeout-lapseMargin)),
+	})
+	g.build()
+	return g, nil
+}
+
+// assumedVMs is the number of VMs that share the limits as long as their list is not known.
+const assumedVMs = 8
+
+func (g *Gateway) build() {
+	g.accept = acceptor.New(acceptor.Options{
+		Board: g.board,
+		Runner: dispatcher.New(dispatcher.Options{
+			Board:   g.board,
+			Tracker: g.tracker,
+			Pooler:  g.pooler,
+			Spender: g.spender,
+			Format:  g.parts.Format,
+			Timer:   g.timer,
+			Log:     g.logger.Part("dispatcher"),
+			Counts:  dispatcher.NewCounts(g.meter.Registry()),
+		}),
+		Format:   g.parts.Format,
+		Timer:    g.timer,
+		Log:      g.logger.Part("acceptor"),
+		Draining: g.draining,
+		Counts:   acceptor.NewCounts(g.meter.Registry()),
+	})
+}
+
+func (g *Gateway) draining() bool {
+	p := g.core.Lifecycle.Read().Phase
+	return p == blackboard.PhaseDraining || p == blackboard.PhaseStopped
+}
+
+// phase returns the phase that the probes report.
+func (g *Gateway) phase() blackboard.Phase {
+	switch {
+	case g.draining():
+		return g.core.Lifecycle.Read().Phase
+	case g.board.Routes.Read().Loaded && g.board.Servers.Read().Known:
+		return blackboard.PhaseReady
+	default:
+		return blackboard.PhaseStarting
+	}
+}
+
+// Run serves until ctx ends, and then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", g.cfg.Callers.String())
+	if err != nil {
+		return fmt.Errorf("listening for callers: %w", err)
+	}
+	probes, err := net.Listen("tcp", g.cfg.Probes.String())
+	if err != nil {
+		return errors.Join(fmt.Errorf("listening for probes: %w", err), callers.Close())
+	}
+	g.drainer = drainer.New(drainer.Options{
+		AvailabilityZone: g.cfg.Zone,
+		BalancerDelay:    balancerDelay,
+		DrainTimeout:     max(0, g.cfg.StopTimeout-balancerDelay-stopReserve),
+		Board:            g.core,
+		Timer:            g.timer,
+		Recorder:         recorder.New(g.cfg.Name, g.timer),
+		Logger:           g.logger,
+		StopListener: func() {
+			if err := callers.Close(); err != nil {
+				g.log.Warn().Err(err).Msg("The listener cannot be closed.")
+			}
+		},
+		PublishDeparture: g.depart,
+		WaitRequests:     g.waitRequests,
+		CloseConnections: g.closeConnections,
+	})
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.start(work, callers, probes)
+	g.log.Info().Stringer("Callers", g.cfg.Callers).Str("AvailabilityZone", g.cfg.Zone).Msg("The gateway has started.")
+	<-ctx.Done()
+	g.log.Info().Int("Running", g.accept.Running()).Msg("The gateway stops.")
+	stop, end := context.WithTimeout(context.Background(), g.cfg.StopTimeout)
+	defer end()
+	err = g.drainer.Shutdown(stop)
+	g.log.Info().Err(err).Msg("The gateway has stopped.")
+	return err
+}
--- /dev/null
+++ b/internal/runner/loops.go
@@ -0,0 +1,197 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/anvildyke/anvildyke/internal/follower"
+	"github.com/anvildyke/anvildyke/internal/registrar"
+	"github.com/anvildyke/anvildyke/internal/router"
+)
+
+// start starts the goroutines of the gateway. They end with ctx or with their listener.
+func (g *Gateway) start(ctx context.Context, callers, probes net.Listener) {
+	log := g.logger.Part("follower")
+	loops := []func(context.Context){
+		follower.New(follower.Options[router.Config]{
+			Kind: "configurations",
+			Feed: g.parts.Configs,
+			Sink: &follower.Configs{
+				Board: g.board,
+				Log:   log,
+			},
+			Timer: g.timer,
+			Log:   log,
+		}).Run,
+		follower.New(follower.Options[registrar.Server]{
+			Kind:  "servers",
+			Feed:  g.parts.Servers,
+			Sink:  g.servers,
+			Timer: g.timer,
+			Log:   log,
+		}).Run,
+		follower.New(follower.Options[struct{}]{
+			Kind: "evacuations",
+			Feed: g.parts.Evacuations,
+			Sink: &follower.Zones{
+				Board: g.board,
+				Log:   log,
+			},
+			Timer: g.timer,
+			Log:   log,
+		}).Run,
+		follower.New(follower.Options[struct{}]{
+			Kind: "VMs",
+			Feed: g.parts.VMs,
+			Sink: &follower.Fleet{
+				Board:   g.board,
+				Changed: g.resize,
+			},
+			Timer: g.timer,
+			Log:   log,
+		}).Run,
+		g.register,
+		g.clear,
+		g.accept.Run,
+	}
+	for _, run := range loops {
+		l := &loop{
+			body: run,
+		}
+		go l.run(ctx)
+	}
+	for _, s := range []*listening{
+		{
+			serve: g.accept.Serve,
+			on:    callers,
+		},
+		{
+			serve: g.meter.Serve,
+			on:    probes,
+		},
+	} {
+		go s.run(g)
+	}
+}
+
+// loop is a goroutine of the gateway.
+type loop struct {
+	body func(context.Context)
+}
+
+func (l *loop) run(ctx context.Context) {
+	l.body(ctx)
+}
+
+// listening is a server on its listener.
+type listening struct {
+	serve func(net.Listener) error
+	on    net.Listener
+}
+
+func (s *listening) run(g *Gateway) {
+	if err := s.serve(s.on); err != nil && !g.draining() {
+		g.log.Error().Stringer("Address", s.on.Addr()).Err(err).Msg("A listener ended.")
+	}
+}
+
+// resize takes the number of VMs that share the limits.
+func (g *Gateway) resize(n int) {
+	g.tracker.SetVMs(n)
+	g.spender.SetVMs(n)
+	g.log.Info().Int("VMs", n).Msg("The number of VMs changed.")
+}
+
+// register adds this VM to the platform's list.
+func (g *Gateway) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, registerTimeout)
+		err := g.parts.Directory.Add(call, g.cfg.Name)
+		cancel()
+		if err == nil {
+			return
+		}
+		g.log.Warn().Err(err).Msg("This VM cannot be added to the list of VMs.")
+		end := g.timer.After(registerRetry)
+		select {
+		case <-end.C:
+		case <-ctx.Done():
+		}
+		end.Stop()
+	}
+}
+
+func (g *Gateway) depart(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	if err := g.parts.Directory.Remove(call, g.cfg.Name); err != nil {
+		g.log.Warn().Err(err).Msg("This VM cannot be removed from the list of VMs.")
+	}
+}
+
+// clear drops what is known of servers and routes that are gone.
+func (g *Gateway) clear(ctx context.Context) {
+	tick := g.timer.Subscribe(housekeeping)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			g.tidy(now)
+		}
+	}
+}
+
+func (g *Gateway) tidy(now time.Time) {
+	g.servers.Expire(now)
+	view := g.board.Servers.Read()
+	keys := map[registrar.Key]struct{}{}
+	for _, members := range view.ByService {
+		for _, m := range members {
+			keys[m.Key()] = struct{}{}
+		}
+	}
+	table := g.board.Routes.Read()
+	names := map[string]struct{}{}
+	for _, r := range table.Routes {
+		names[r.Name] = struct{}{}
+	}
+	known := func(k registrar.Key) bool {
+		_, ok := keys[k]
+		return ok
+	}
+	g.tracker.Retain(known, func(route string) bool {
+		_, ok := names[route]
+		return ok
+	})
+	g.pooler.Trim(now, known)
+	g.spender.Retain(func(service string) bool {
+		_, ok := table.Services[service]
+		return ok
+	})
+}
+
+// waitPeriod is the time between looks at the running requests while the gateway stops.
+const waitPeriod = 20 * time.Millisecond
+
+func (g *Gateway) waitRequests(ctx context.Context) error {
+	tick := g.timer.Subscribe(waitPeriod)
+	defer tick.Stop()
+	for g.accept.Running() > 0 {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d requests were cut off: %w", g.accept.Running(), ctx.Err())
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) closeConnections(ctx context.Context) {
+	if err := g.accept.Shutdown(ctx); err != nil {
+		g.log.Warn().Err(err).Msg("Connections of callers cannot be closed in time.")
+	}
+}
--- /dev/null
+++ b/internal/spender/spender.go
@@ -0,0 +1,130 @@
+// Package spender bounds the requests that are sent to a service beyond the first of each caller's request, in a sliding
+// window and for this VM's share of the fleet.
+package spender
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// steps is the number of parts of a window. A window of whole steps counts up to one step too much, never too little.
+	steps = 20
+	// safety is the part of the allowance that is spent; the rest covers differences between the clocks of VMs and requests
+	// that arrive in a later window than they were sent in.
+	safety = 0.8
+	// hedgeShare is the part of the allowance that hedges may use, so that retries after failures are left.
+	hedgeShare = 0.75
+)
+
+// Purpose is the reason for an extra request.
+type Purpose int
+
+// Purposes of extra requests.
+const (
+	// Hedge duplicates a request that is still running.
+	Hedge Purpose = iota
+	// Retry follows a failure.
+	Retry
+)
+
+// Config are the bounds of all budgets.
+type Config struct {
+	Window time.Duration
+	// Ratio is the number of extra requests for each first one.
+	Ratio float64
+	// Extra is the number of extra requests in a window that all VMs together may send besides.
+	Extra float64
+}
+
+// Spender holds a budget for each service. Its methods are safe for concurrent use.
+type Spender struct {
+	cfg Config
+
+	mu sync.Mutex
+	// vms is the number of VMs that share Extra, at least 1.
+	vms      int
+	services map[string]*account
+}
+
+// account counts the steps of the window that ends now.
+type account struct {
+	// last is the number of the newest step.
+	last   int64
+	firsts [steps]int
+	extras [steps]int
+}
+
+// New returns a Spender for one of vms VMs.
+func New(cfg Config, vms int) *Spender {
+	return &Spender{
+		cfg:      cfg,
+		vms:      max(vms, 1),
+		services: map[string]*account{},
+	}
+}
+
+// SetVMs changes the number of VMs that share the allowance.
+func (s *Spender) SetVMs(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = max(n, 1)
+}
+
+// First counts the first request for a service.
+func (s *Spender) First(service string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.at(service, now)
+	a.firsts[a.last%steps]++
+}
+
+// Spend counts an extra request and returns true if the budget allows it.
+func (s *Spender) Spend(service string, p Purpose, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.at(service, now)
+	firsts, extras := 0, 0
+	for i := range steps {
+		firsts += a.firsts[i]
+		extras += a.extras[i]
+	}
+	allowed := safety * (s.cfg.Ratio*float64(firsts) + s.cfg.Extra/float64(s.vms))
+	if p == Hedge {
+		allowed *= hedgeShare
+	}
+	if float64(extras+1) > allowed {
+		return false
+	}
+	a.extras[a.last%steps]++
+	return true
+}
+
+// at returns the account of a service with its window moved up to now.
+func (s *Spender) at(service string, now time.Time) *account {
+	step := now.UnixNano() / int64(s.cfg.Window/steps)
+	a, ok := s.services[service]
+	if !ok {
+		a = &account{
+			last: step,
+		}
+		s.services[service] = a
+	}
+	for i := max(a.last+1, step-steps+1); i <= step; i++ {
+		a.firsts[i%steps] = 0
+		a.extras[i%steps] = 0
+	}
+	a.last = max(a.last, step)
+	return a
+}
+
+// Retain drops the accounts of services that keep denies.
+func (s *Spender) Retain(keep func(service string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.services {
+		if !keep(name) {
+			delete(s.services, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/tracker/flight.go
@@ -0,0 +1,135 @@
+package tracker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/anvildyke/anvildyke/internal/registrar"
+)
+
+// Flight is one request that runs at a server.
+type Flight struct {
+	tracker *Tracker
+	member  registrar.Member
+	route   string
+	sent    time.Time
+}
+
+// Begin notes that a request is sent. The flight must end.
+func (t *Tracker) Begin(m registrar.Member, route string, now time.Time) *Flight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server(m.Key())
+	f := &Flight{
+		tracker: t,
+		member:  m,
+		route:   route,
+		sent:    now,
+	}
+	s.flights = append(s.flights, f)
+	s.usedAt = now
+	if s.hold > 0 {
+		s.probing = true
+	}
+	s.cold.take(now)
+	return f
+}
+
+// Report is what a server said when a request ended.
+type Report struct {
+	Ending Ending
+	// Load is nil when the server reports none.
+	Load *Load
+}
+
+// End notes the end of the request.
+func (f *Flight) End(r Report, now time.Time) {
+	t := f.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server(f.member.Key())
+	if i := slices.Index(s.flights, f); i >= 0 {
+		s.flights = slices.Delete(s.flights, i, i+1)
+	}
+	s.probing = false
+	if r.Load != nil {
+		s.report = *r.Load
+		s.reportAt = now
+		s.reportOwn = len(s.flights)
+	}
+	switch r.Ending {
+	case Answered:
+		s.hold = 0
+		s.heldUntil = time.Time{}
+		s.fail(0, now)
+		t.measure(s, f, now)
+	case Failed:
+		s.fail(1, now)
+	case Refused:
+		s.hold = 0
+		s.fail(refusalWeight, now)
+	case Misdirected, Unreachable, Silent:
+		s.fail(1, now)
+		s.hold = min(max(holdMin, 2*s.hold), holdMax)
+		s.heldUntil = now.Add(s.hold)
+	case Abandoned:
+	}
+}
+
+// refusalWeight is what a refusal counts for as a failure: the next request may find room.
+const refusalWeight = 0.5
+
+func (s *state) fail(x float64, now time.Time) {
+	s.failures *= fade(now.Sub(s.failedAt))
+	s.failures += sampleWeight * (x - s.failures)
+	s.failedAt = now
+}
+
+// measure adds the latency of an answered request.
+func (t *Tracker) measure(s *state, f *Flight, now time.Time) {
+	d := now.Sub(f.sent)
+	l, ok := s.latency[f.route]
+	if !ok {
+		l = &average{}
+		s.latency[f.route] = l
+	}
+	l.add(d, now)
+	r := t.route(f.route)
+	z, ok := r.zones[f.member.Zone]
+	if !ok {
+		z = &average{}
+		r.zones[f.member.Zone] = z
+	}
+	z.add(d, now)
+	r.all.add(d, now)
+	r.learnTail(d)
+}
+
+// learnTail moves the estimate of the quantile by a step that balances at the quantile: up for the few latencies above it,
+// down by the smaller part for those below.
+func (r *routeState) learnTail(d time.Duration) {
+	if r.tail == 0 {
+		r.tail = 2 * d
+		return
+	}
+	step := tailStep * float64(r.tail)
+	if d > r.tail {
+		r.tail += time.Duration(step * tailQuantile)
+		return
+	}
+	r.tail -= time.Duration(step * (1 - tailQuantile))
+}
+
+// coldGate spreads the requests to a cold server evenly over time.
+type coldGate struct {
+	last time.Time
+}
+
+// open reports whether a request may follow the last one at a rate in requests a second.
+func (g *coldGate) open(now time.Time, rate float64) bool {
+	return now.Sub(g.last) >= time.Duration(float64(time.Second)/rate)
+}
+
+func (g *coldGate) take(now time.Time) {
+	g.last = now
+}
--- /dev/null
+++ b/internal/tracker/tracker.go
@@ -0,0 +1,342 @@
+// Package tracker follows the backend servers by the requests that this VM sends them, and chooses the one that is expected
+// to answer first.
+package tracker
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/anvildyke/anvildyke/internal/registrar"
+	"github.com/anvildyke/anvildyke/internal/router"
+)
+
+const (
+	// sampleWeight is the weight of a new latency in the smoothed one.
+	sampleWeight = 0.2
+	// memory is the age at which half of a server's own latency and failures is forgotten, so that a server that was slow is
+	// tried again.
+	memory = 1500 * time.Millisecond
+	// stallFactor times the usual latency of the route without an answer makes a server count as stalled.
+	stallFactor = 3
+	// stallLeast keeps short delays of the network from counting as a stall.
+	stallLeast = 25 * time.Millisecond
+	// reportAge bounds the use of a load report; queues of a few requests change faster.
+	reportAge = 300 * time.Millisecond
+	// sameRegion and otherRegion are the assumed extra latencies of a zone that has not been measured.
+	sameRegion  = 2 * time.Millisecond
+	otherRegion = 20 * time.Millisecond
+	// firstLatency is assumed on a route without answers and without a target.
+	firstLatency = 30 * time.Millisecond
+	// failurePenalty is added to the expected latency of a server whose requests all fail.
+	failurePenalty = 400 * time.Millisecond
+	// lapsedPenalty keeps servers without an entry behind the others of their shard.
+	lapsedPenalty = 30 * time.Millisecond
+	// coldFactor is how much slower a cold server is assumed to be.
+	coldFactor = 1.5
+	// occupancyFactor is the share of its latency that a server with all slots busy loses to contention.
+	occupancyFactor = 0.3
+	// holdMin and holdMax bound the time without requests after a server could not be reached.
+	holdMin = 250 * time.Millisecond
+	holdMax = 2 * time.Second
+	// tailQuantile is the quantile of the latencies after which a duplicate is worth its cost.
+	tailQuantile = 0.95
+	// tailStep is the relative step of the estimate of the quantile.
+	tailStep = 0.05
+)
+
+// Load is a server's report of its own load.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Ending is how a request at a server ended.
+type Ending int
+
+// Endings.
+const (
+	// Answered is a usable answer.
+	Answered Ending = iota
+	// Failed is an answer that reports a failure, or one that cannot be used.
+	Failed
+	// Refused says that the server did not run the request for want of room.
+	Refused
+	// Misdirected says that another server has the address.
+	Misdirected
+	// Unreachable says that the server could not be connected to.
+	Unreachable
+	// Silent is the end of the time without an answer.
+	Silent
+	// Abandoned is a request that the caller gave up.
+	Abandoned
+)
+
+// average is a smoothed latency.
+type average struct {
+	value time.Duration
+	at    time.Time
+}
+
+func (a *average) add(d time.Duration, now time.Time) {
+	if a.at.IsZero() {
+		a.value = d
+	} else {
+		a.value += time.Duration(sampleWeight * float64(d-a.value))
+	}
+	a.at = now
+}
+
+// state is what is known of one server process.
+type state struct {
+	// flights are the running requests, oldest first.
+	flights []*Flight
+	latency map[string]*average
+	// failures is the smoothed share of failed requests, 0 to 1.
+	failures float64
+	failedAt time.Time
+	report   Load
+	reportAt time.Time
+	// reportOwn is the number of this VM's requests at the time of the report.
+	reportOwn int
+	hold      time.Duration
+	heldUntil time.Time
+	probing   bool
+	cold      coldGate
+	usedAt    time.Time
+}
+
+// routeState is what is known of a route over all servers.
+type routeState struct {
+	zones map[string]*average
+	all   average
+	tail  time.Duration
+}
+
+// Config describes the place of this VM.
+type Config struct {
+	Zone   string
+	Region string
+}
+
+// Tracker holds the states. Its methods are safe for concurrent use.
+type Tracker struct {
+	cfg Config
+
+	mu      sync.Mutex
+	servers map[registrar.Key]*state
+	routes  map[string]*routeState
+	vms     int
+}
+
+// New returns a Tracker without knowledge.
+func New(cfg Config) *Tracker {
+	return &Tracker{
+		cfg:     cfg,
+		servers: map[registrar.Key]*state{},
+		routes:  map[string]*routeState{},
+		vms:     1,
+	}
+}
+
+// SetVMs sets the number of VMs that share the limits of a server.
+func (t *Tracker) SetVMs(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.vms = max(n, 1)
+}
+
+// VMs returns the number of VMs that share the limits of a server.
+func (t *Tracker) VMs() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.vms
+}
+
+func (t *Tracker) server(k registrar.Key) *state {
+	s, ok := t.servers[k]
+	if !ok {
+		s = &state{
+			latency: map[string]*average{},
+		}
+		t.servers[k] = s
+	}
+	return s
+}
+
+func (t *Tracker) route(name string) *routeState {
+	r, ok := t.routes[name]
+	if !ok {
+		r = &routeState{
+			zones: map[string]*average{},
+		}
+		t.routes[name] = r
+	}
+	return r
+}
+
+// Ask is the choice of a server for one request.
+type Ask struct {
+	Route   *router.Route
+	Service router.Service
+	Members []registrar.Member
+	// Excluded servers are not chosen.
+	Excluded []registrar.Key
+	Now      time.Time
+}
+
+// Choose returns the server that is expected to answer first, and false if none can take the request now.
+func (t *Tracker) Choose(a Ask) (registrar.Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best registrar.Member
+	var least time.Duration
+	found := false
+	for _, m := range a.Members {
+		if excluded(a.Excluded, m.Key()) || !a.Route.Allows(m.Region) {
+			continue
+		}
+		s := t.server(m.Key())
+		if !t.open(s, m, a) {
+			continue
+		}
+		d := t.expect(s, m, a)
+		// A random part of a tenth keeps VMs with the same view from choosing the same server.
+		d += time.Duration(float64(d) * 0.1 * rand.Float64())
+		if !found || d < least {
+			best, least, found = m, d, true
+		}
+	}
+	return best, found
+}
+
+func excluded(list []registrar.Key, k registrar.Key) bool {
+	for _, e := range list {
+		if e == k {
+			return true
+		}
+	}
+	return false
+}
+
+// open reports whether the server can get another request.
+func (t *Tracker) open(s *state, m registrar.Member, a Ask) bool {
+	if a.Now.Before(s.heldUntil) || s.hold > 0 && s.probing {
+		return false
+	}
+	if len(s.flights) >= t.connections(a.Service) {
+		return false
+	}
+	if m.ColdUntil.After(a.Now) && a.Service.ColdPerSecond > 0 {
+		return s.cold.open(a.Now, a.Service.ColdPerSecond/float64(t.vms))
+	}
+	return true
+}
+
+// connectionShare is the part of a server's connections that all VMs together use; the rest covers VMs that are not known yet.
+const connectionShare = 0.9
+
+// connections returns how many connections to a server of the service this VM may have.
+func (t *Tracker) connections(s router.Service) int {
+	if s.MaxConnections <= 0 {
+		return defaultConnections
+	}
+	return max(1, int(connectionShare*float64(s.MaxConnections)/float64(t.vms)))
+}
+
+// defaultConnections bounds the connections to a server whose limit is not stated.
+const defaultConnections = 8
+
+// Connections returns how many connections to a server of the service this VM may have.
+func (t *Tracker) Connections(s router.Service) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.connections(s)
+}
+
+// expect returns the expected latency of a request, with penalties for what speaks against the server.
+func (t *Tracker) expect(s *state, m registrar.Member, a Ask) time.Duration {
+	r := t.route(a.Route.Name)
+	base := t.usual(r, m, a)
+	d := base
+	if l, ok := s.latency[a.Route.Name]; ok {
+		d += time.Duration(fade(a.Now.Sub(l.at)) * float64(l.value-base))
+	}
+	if m.ColdUntil.After(a.Now) {
+		d = time.Duration(coldFactor * float64(d))
+	}
+	slots := max(1, m.Slots)
+	busy := len(s.flights)
+	if a.Now.Sub(s.reportAt) < reportAge {
+		busy += max(0, s.report.Running+s.report.Waiting-s.reportOwn)
+	}
+	d += time.Duration(float64(d) * (occupancyFactor*float64(min(busy, slots)) + float64(max(0, busy+1-slots))) / float64(slots))
+	if len(s.flights) > 0 {
+		if age := a.Now.Sub(s.flights[0].sent); age > max(stallLeast, stallFactor*base) {
+			d += 2 * age
+		}
+	}
+	d += time.Duration(fade(a.Now.Sub(s.failedAt)) * s.failures * float64(failurePenalty))
+	if m.Lapsed {
+		d += lapsedPenalty
+	}
+	return d
+}
+
+// usual returns the latency of the route in the server's zone.
+func (t *Tracker) usual(r *routeState, m registrar.Member, a Ask) time.Duration {
+	if z, ok := r.zones[m.Zone]; ok {
+		return z.value
+	}
+	d := r.all.value
+	if r.all.at.IsZero() {
+		d = firstLatency
+		if a.Route.Target > 0 {
+			d = min(d, a.Route.Target/4)
+		}
+	}
+	switch {
+	case m.Zone == t.cfg.Zone:
+		return d
+	case m.Region == t.cfg.Region:
+		return d + sameRegion
+	default:
+		return d + otherRegion
+	}
+}
+
+// fade returns the weight of knowledge of an age, 1 for fresh and 1/2 after memory.
+func fade(age time.Duration) float64 {
+	return 1 / (1 + float64(max(age, 0))/float64(memory))
+}
+
+// Tail returns the latency that all but the slowest requests of the route stay below, 0 while it is unknown.
+func (t *Tracker) Tail(route string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.route(route).tail
+}
+
+// Usual returns the mean latency of a route over all servers, 0 while it is unknown.
+func (t *Tracker) Usual(route string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.route(route).all.value
+}
+
+// Retain drops the servers and routes that keep denies and that have no running request.
+func (t *Tracker) Retain(server func(registrar.Key) bool, route func(string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, s := range t.servers {
+		if len(s.flights) == 0 && !server(k) {
+			delete(t.servers, k)
+		}
+	}
+	for name := range t.routes {
+		if !route(name) {
+			delete(t.routes, name)
+		}
+	}
+}
