Let one VM a zone read the store and the others follow it

Now the first VM of a zone by rendezvous rank reads the store; the others follow it over net/rpc, pass over one that fails or has lost the store, and read the store themselves when none is left.

--- a/cmd/anvildyked/gateway.go
+++ b/cmd/anvildyked/gateway.go
@@ -24,13 +24,15 @@
 	}
 	store := platform.NewStore(cfg.Store)
 	g, err := runner.NewGateway(cfg, runner.GatewayParts{
-		Configs: store.Configs(),
-		Servers: store.Servers(func(zone string) (string, bool) {
-			region, ok := cfg.Regions[zone]
-			return region, ok
-		}),
-		Evacuations: store.Evacuations(),
-		VMs:         store.VMs(),
+		Source: store,
+		Kinds: runner.Kinds{
+			Config:     platform.KindConfig,
+			Server:     platform.KindServer,
+			Evacuation: platform.KindEvacuation,
+			VM:         platform.KindVM,
+		},
+		DecodeConfig: platform.DecodeConfig,
+		DecodeServer: platform.DecodeServer(cfg.Regions),
 		Directory: platform.Directory{
 			Store: store,
 		},
--- a/internal/blackboard/gateway.go
+++ b/internal/blackboard/gateway.go
@@ -1,6 +1,8 @@
 package blackboard
 
 import (
+	"net/netip"
+
 	"github.com/anvildyke/anvildyke/internal/registrar"
 	"github.com/anvildyke/anvildyke/internal/router"
 )
@@ -32,6 +34,14 @@
 // Fleet is the list of entry VMs.
 type Fleet struct {
 	Revision uint64
-	// Names are ordered.
-	Names []string
+	// VMs are ordered by name.
+	VMs []VM
+}
+
+// VM is an entry VM.
+type VM struct {
+	Name string
+	Zone string
+	// Address is where other VMs connect, the zero value if they cannot.
+	Address netip.AddrPort
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -1,139 +1,328 @@
-// Package follower keeps sections of the blackboard in step with the kinds of objects at the platform.
+// Package follower keeps sections of the blackboard in step with the kinds of objects at the platform. In each zone one VM
+// reads the platform and the others follow that VM, so that the calls of the platform grow with the zones.
 package follower
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
-	"sync/atomic"
+	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/anvildyke/anvildyke/internal/blackboard"
+	"github.com/anvildyke/anvildyke/internal/peerer"
+	"github.com/anvildyke/anvildyke/internal/ranker"
 	"github.com/anvildyke/anvildyke/internal/storer"
 	"github.com/anvildyke/anvildyke/internal/timer"
 )
 
 const (
-	// watchWait is how long a watch waits for changes. A watch that the platform forgot is found after this time, which has to
-	// fit into the few seconds within which a configuration has to be in force.
-	watchWait = 4 * time.Second
-	// callTimeout bounds a call without an answer, and what a watch may take beyond its wait.
-	callTimeout = 1200 * time.Millisecond
-	// retryMin and retryMax bound the pause after a failed call. It doubles with each failure.
-	retryMin = 100 * time.Millisecond
-	retryMax = time.Second
+	// followWait is how long another VM waits for changes before it replies. A VM that fails is noticed after this time and
+	// followGrace, so that a third source is reached within the few seconds in which a configuration has to be in force.
+	followWait = 500 * time.Millisecond
+	// followGrace is what a reply may take beyond its wait: two ways between regions and the processor time of a busy VM.
+	followGrace = 400 * time.Millisecond
+	// suspectTime is how long a VM that failed is passed over.
+	suspectTime = 4 * time.Second
+	// startReplies is how many replies without a list are accepted from a VM that is starting.
+	startReplies = 3
+	// reviewPeriod is the time between looks whether another VM should read the platform.
+	reviewPeriod = time.Second
+	// rankKey is the key by which the VMs of a zone are ranked.
+	rankKey = "follower"
 )
 
-// Sink takes what a Follower reads. Its methods are called from one goroutine.
-type Sink[T any] interface {
-	// Replace takes the whole list.
-	Replace(b storer.Batch[T])
-	// Apply takes changes since the last call.
-	Apply(b storer.Batch[T])
-	// Lost says that the platform does not answer, Returned that it does again.
-	Lost()
-	Returned()
-}
-
 // Options are the collaborators of a Follower.
-type Options[T any] struct {
-	// Kind names the feed in logs.
-	Kind  string
-	Feed  storer.Feed[T]
-	Sink  Sink[T]
+type Options struct {
+	// Name and Zone are those of this VM.
+	Name string
+	Zone string
+	// Kinds are the kinds to follow.
+	Kinds  []*Log
+	Source storer.Source
+	Client peerer.Client
+	Board  *blackboard.Gateway
+	// Seeds are peer addresses that are asked while the platform does not answer and no other VM is known.
+	Seeds []netip.AddrPort
 	Timer *timer.Service
 	Log   zerolog.Logger
 }
 
-// Follower follows one feed.
-type Follower[T any] struct {
-	o Options[T]
-	// lost is true while the last call failed.
-	lost  bool
-	since time.Time
-	pause time.Duration
-	// heard is the Unix time in milliseconds of the last answer, 0 before the first.
-	heard atomic.Int64
+// Follower follows the kinds, and lets other VMs follow this one. Its methods are safe for concurrent use.
+type Follower struct {
+	o Options
+
+	mu sync.Mutex
+	// suspects are VMs that are passed over until a time.
+	suspects map[string]time.Time
 }
 
 // New returns a Follower that does not run yet.
-func New[T any](o Options[T]) *Follower[T] {
-	return &Follower[T]{
-		o: o,
+func New(o Options) *Follower {
+	return &Follower{
+		o:        o,
+		suspects: map[string]time.Time{},
 	}
 }
 
-// Run follows the feed until ctx ends.
-func (f *Follower[T]) Run(ctx context.Context) {
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	last := ""
 	for ctx.Err() == nil {
-		b, err := f.list(ctx)
-		if !f.answered(ctx, err) {
+		vm := f.source()
+		if vm.Name != last {
+			f.o.Log.Info().Str("Source", vm.Name).Bool("Platform", vm.Name == f.o.Name).Uint64("VMs", f.o.Board.Members.Read().Revision).Msg("The source of objects changed.")
+			last = vm.Name
+		}
+		if vm.Name == f.o.Name {
+			f.readPlatform(ctx)
+		} else {
+			f.followVM(ctx, vm)
+		}
+	}
+}
+
+// source returns the VM to follow, which is this one if it reads the platform itself.
+func (f *Follower) source() blackboard.VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.o.Timer.Now()
+	self := blackboard.VM{
+		Name: f.o.Name,
+		Zone: f.o.Zone,
+	}
+	fleet := f.o.Board.Members.Read()
+	inZone := map[string]blackboard.VM{}
+	var names []string
+	for _, vm := range fleet.VMs {
+		if vm.Zone == f.o.Zone && vm.Address.IsValid() {
+			inZone[vm.Name] = vm
+			names = append(names, vm.Name)
+		}
+	}
+	for _, name := range ranker.Rank(rankKey, names) {
+		if now.Before(f.suspects[name]) {
 			continue
 		}
-		f.o.Sink.Replace(b)
-		f.follow(ctx, b.Revision)
+		if name == f.o.Name {
+			return self
+		}
+		return inZone[name]
 	}
+	return self
 }
 
-func (f *Follower[T]) list(ctx context.Context) (storer.Batch[T], error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
-	defer cancel()
-	return f.o.Feed.List(ctx)
+func (f *Follower) suspect(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspects[name] = f.o.Timer.Now().Add(suspectTime)
 }
 
-// follow watches until the history is gone or ctx ends.
-func (f *Follower[T]) follow(ctx context.Context, revision uint64) {
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
-		b, err := f.o.Feed.Watch(call, revision, watchWait)
-		cancel()
-		if errors.Is(err, storer.ErrHistoryGone) {
-			f.o.Log.Info().Str("Kind", f.o.Kind).Uint64("Revision", revision).Msg("The history is gone and the list is read again.")
+// readPlatform reads the platform as long as this VM is the one to do so.
+func (f *Follower) readPlatform(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for _, l := range f.o.Kinds {
+		d := &direct{
+			log:    l,
+			source: f.o.Source,
+			timer:  f.o.Timer,
+			out:    f.o.Log,
+		}
+		wg.Go(func() {
+			d.run(ctx)
+		})
+	}
+	defer wg.Wait()
+	defer cancel()
+	tick := f.o.Timer.Subscribe(reviewPeriod)
+	defer tick.Stop()
+	away := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if f.source().Name != f.o.Name {
 			return
 		}
-		if !f.answered(ctx, err) {
+		if !f.isAway() {
+			away = 0
 			continue
 		}
-		if len(b.Items) > 0 {
-			f.o.Sink.Apply(b)
+		// Other VMs may still reach the platform.
+		if away++; away%2 == 1 {
+			f.askAround(ctx)
 		}
-		revision = max(revision, b.Revision)
 	}
 }
 
-// answered notes the outcome of a call and pauses after a failure.
-func (f *Follower[T]) answered(ctx context.Context, err error) bool {
-	now := f.o.Timer.Now()
-	if err == nil {
-		if f.lost {
-			f.lost = false
-			f.o.Log.Info().Str("Kind", f.o.Kind).Dur("Away", now.Sub(f.since)).Msg("The platform answers again.")
-			f.o.Sink.Returned()
+func (f *Follower) isAway() bool {
+	for _, l := range f.o.Kinds {
+		if _, _, away, _ := l.Since(^uint64(0)); away {
+			return true
 		}
-		f.pause = 0
-		f.heard.Store(now.UnixMilli())
-		return true
 	}
-	if ctx.Err() != nil {
-		return false
+	return false
+}
+
+// maxAsked bounds the VMs that are asked at a time while the platform does not answer.
+const maxAsked = 3
+
+// askAround takes what other VMs know while the platform does not answer.
+func (f *Follower) askAround(ctx context.Context) {
+	var addrs []netip.AddrPort
+	fleet := f.o.Board.Members.Read()
+	names := make([]string, 0, len(fleet.VMs))
+	byName := map[string]blackboard.VM{}
+	for _, vm := range fleet.VMs {
+		if vm.Name != f.o.Name && vm.Address.IsValid() {
+			names = append(names, vm.Name)
+			byName[vm.Name] = vm
+		}
 	}
-	if !f.lost {
-		f.lost = true
-		f.since = now
-		f.o.Log.Warn().Str("Kind", f.o.Kind).Err(err).Msg("The platform does not answer.")
-		f.o.Sink.Lost()
+	// A key of this VM's own spreads the questions over the fleet.
+	for _, name := range ranker.Rank(f.o.Name+f.o.Timer.Now().String(), names) {
+		addrs = append(addrs, byName[name].Address)
+	}
+	if len(addrs) == 0 {
+		addrs = f.o.Seeds
+	}
+	for _, addr := range addrs[:min(len(addrs), maxAsked)] {
+		reply, err := f.ask(ctx, addr, 0)
+		if err != nil {
+			continue
+		}
+		if f.take(reply) {
+			f.o.Log.Info().Stringer("From", addr).Msg("Objects were taken from another VM while the platform does not answer.")
+		}
 	}
-	f.pause = min(max(retryMin, 2*f.pause), retryMax)
-	f.wait(ctx, f.pause/2+rand.N(f.pause/2))
-	return false
 }
 
-func (f *Follower[T]) wait(ctx context.Context, d time.Duration) {
-	end := f.o.Timer.After(d)
+// followVM follows another VM until it fails or another source is better.
+func (f *Follower) followVM(ctx context.Context, vm blackboard.VM) {
+	unsynced := 0
+	for ctx.Err() == nil {
+		reply, err := f.ask(ctx, vm.Address, followWait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.o.Log.Warn().Str("Source", vm.Name).Err(err).Msg("The source of objects does not answer.")
+			f.suspect(vm.Name)
+			return
+		}
+		if !reply.Synced {
+			if unsynced++; unsynced < startReplies {
+				continue
+			}
+		}
+		if reply.Away || !reply.Synced {
+			f.o.Log.Info().Str("Source", vm.Name).Bool("Synced", reply.Synced).Msg("The source of objects does not reach the platform.")
+			f.take(reply)
+			for _, l := range f.o.Kinds {
+				l.SetAway(true)
+			}
+			f.suspect(vm.Name)
+			return
+		}
+		f.take(reply)
+		for _, l := range f.o.Kinds {
+			l.SetAway(false)
+		}
+		if f.source().Name != vm.Name {
+			return
+		}
+	}
+}
+
+// ask asks another VM for what this one lacks.
+func (f *Follower) ask(ctx context.Context, addr netip.AddrPort, wait time.Duration) (peerer.FollowReply, error) {
+	req := peerer.FollowRequest{
+		After: map[string]uint64{},
+		Wait:  wait,
+	}
+	for _, l := range f.o.Kinds {
+		revision, _ := l.Revision()
+		req.After[l.kind] = revision
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+followGrace)
+	defer cancel()
+	var reply peerer.FollowReply
+	err := f.o.Client.Call(ctx, addr, peerer.MethodFollow, req, &reply)
+	return reply, err
+}
+
+// take applies a reply and reports whether it had anything new.
+func (f *Follower) take(reply peerer.FollowReply) bool {
+	changed := false
+	for _, u := range reply.Updates {
+		for _, l := range f.o.Kinds {
+			if l.kind != u.Kind {
+				continue
+			}
+			b := storer.Batch{
+				Items:    u.Items,
+				Revision: u.Revision,
+			}
+			if u.Whole {
+				l.Replace(b)
+			} else {
+				l.Apply(u.After, b)
+			}
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Server answers other VMs that follow this one.
+type Server struct {
+	Follower *Follower
+}
+
+// Follow replies with what the caller lacks as soon as there is something, or after the wait.
+func (s *Server) Follow(req peerer.FollowRequest, reply *peerer.FollowReply) error {
+	f := s.Follower
+	end := f.o.Timer.After(min(req.Wait, followWait))
 	defer end.Stop()
+	for {
+		var wake []<-chan struct{}
+		reply.Synced = true
+		for _, l := range f.o.Kinds {
+			u, synced, away, changed := l.Since(req.After[l.kind])
+			reply.Synced = reply.Synced && synced
+			reply.Away = reply.Away || away
+			if u != nil {
+				reply.Updates = append(reply.Updates, *u)
+			}
+			wake = append(wake, changed)
+		}
+		if len(reply.Updates) > 0 || reply.Away || req.Wait <= 0 {
+			return nil
+		}
+		if !waitAny(wake, end.C) {
+			return nil
+		}
+	}
+}
+
+// waitAny waits for one of up to four channels, and returns false at the end of the wait.
+func waitAny(c []<-chan struct{}, end <-chan time.Time) bool {
+	var all [maxKinds]<-chan struct{}
+	copy(all[:], c)
 	select {
-	case <-end.C:
-	case <-ctx.Done():
+	case <-all[0]:
+	case <-all[1]:
+	case <-all[2]:
+	case <-all[3]:
+	case <-end:
+		return false
 	}
+	return true
 }
+
+// maxKinds is the number of kinds that a Follower may have.
+const maxKinds = 4
--- /dev/null
+++ b/internal/follower/log.go
@@ -0,0 +1,159 @@
+package follower
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/anvildyke/anvildyke/internal/peerer"
+	"github.com/anvildyke/anvildyke/internal/storer"
+)
+
+// maxHistory bounds the batches of changes that a Log keeps for other VMs. A VM that is further behind gets the whole list.
+const maxHistory = 64
+
+// Sink takes the objects of a kind. Its methods are called one at a time.
+type Sink interface {
+	// Replace takes the whole list.
+	Replace(b storer.Batch)
+	// Apply takes changes since the last call.
+	Apply(b storer.Batch)
+	// Returned says that the platform answers again after an outage.
+	Returned()
+}
+
+// Log holds the objects of one kind and their last changes, passes them to a sink and to other VMs. Its methods are safe for
+// concurrent use.
+type Log struct {
+	kind string
+	sink Sink
+
+	mu       sync.Mutex
+	synced   bool
+	away     bool
+	revision uint64
+	objects  map[string][]byte
+	// history holds the last changes, the oldest first; base is the revision before them.
+	history []storer.Batch
+	base    uint64
+	// changed is closed and replaced at every change.
+	changed chan struct{}
+}
+
+// NewLog returns an empty log of a kind.
+func NewLog(kind string, sink Sink) *Log {
+	return &Log{
+		kind:    kind,
+		sink:    sink,
+		objects: map[string][]byte{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Revision returns the revision of the log, and false as long as no list is known.
+func (l *Log) Revision() (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision, l.synced
+}
+
+// Replace takes a whole list unless a newer one is known.
+func (l *Log) Replace(b storer.Batch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.synced && b.Revision < l.revision {
+		return
+	}
+	l.synced = true
+	l.revision = b.Revision
+	l.base = b.Revision
+	l.history = nil
+	l.objects = make(map[string][]byte, len(b.Items))
+	l.store(b)
+	l.sink.Replace(b)
+	l.signal()
+}
+
+// Apply takes the changes between two revisions, and reports false if the log is not at the first one.
+func (l *Log) Apply(after uint64, b storer.Batch) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.synced || l.revision != after || b.Revision < after {
+		return false
+	}
+	l.revision = b.Revision
+	if len(b.Items) == 0 {
+		return true
+	}
+	l.store(b)
+	l.history = append(l.history, b)
+	if len(l.history) > maxHistory {
+		l.base = l.history[0].Revision
+		l.history = slices.Delete(l.history, 0, 1)
+	}
+	l.sink.Apply(b)
+	l.signal()
+	return true
+}
+
+func (l *Log) store(b storer.Batch) {
+	for _, item := range b.Items {
+		if item.Deleted {
+			delete(l.objects, item.Name)
+		} else {
+			l.objects[item.Name] = item.Value
+		}
+	}
+}
+
+func (l *Log) signal() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// SetAway notes whether the platform answers.
+func (l *Log) SetAway(away bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away == away {
+		return
+	}
+	l.away = away
+	if !away {
+		l.sink.Returned()
+	}
+	l.signal()
+}
+
+// Since returns what a VM at a revision lacks, nil if that is nothing, and a channel that is closed at the next change.
+func (l *Log) Since(after uint64) (u *peerer.FollowUpdate, synced, away bool, changed <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.synced || l.revision <= after {
+		return nil, l.synced, l.away, l.changed
+	}
+	u = &peerer.FollowUpdate{
+		Kind:     l.kind,
+		After:    after,
+		Revision: l.revision,
+	}
+	if after < l.base {
+		u.Whole = true
+		for _, name := range slices.Sorted(maps.Keys(l.objects)) {
+			u.Items = append(u.Items, storer.Item{
+				Name:  name,
+				Value: l.objects[name],
+			})
+		}
+		return u, true, l.away, l.changed
+	}
+	for _, b := range l.history {
+		if b.Revision > after {
+			u.Items = append(u.Items, b.Items...)
+		}
+	}
+	if len(u.Items) == 0 {
+		u = nil
+	}
+	return u, true, l.away, l.changed
+}
--- a/internal/follower/sinks.go
+++ b/internal/follower/sinks.go
@@ -1,6 +1,10 @@
 package follower
 
 import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -14,38 +18,38 @@
 	"github.com/anvildyke/anvildyke/internal/timer"
 )
 
-// silent is embedded by sinks that do nothing when the platform goes or returns: what they know stays in force.
-type silent struct{}
-
-// Lost does nothing.
-func (silent) Lost() {}
+// steady is embedded by sinks to which an outage makes no difference: what they know stays in force.
+type steady struct{}
 
 // Returned does nothing.
-func (silent) Returned() {}
+func (steady) Returned() {}
 
 // Configs is the Sink that installs configurations. An older version never replaces a newer one.
 type Configs struct {
-	silent
-	Board *blackboard.Gateway
-	Log   zerolog.Logger
+	steady
+	Board  *blackboard.Gateway
+	Decode func(name string, value []byte) (router.Config, error)
+	Log    zerolog.Logger
 }
 
 // Replace installs the configuration of the list.
-func (c *Configs) Replace(b storer.Batch[router.Config]) {
+func (c *Configs) Replace(b storer.Batch) {
 	c.Apply(b)
 }
 
 // Apply installs the newest configuration of the changes.
-func (c *Configs) Apply(b storer.Batch[router.Config]) {
+func (c *Configs) Apply(b storer.Batch) {
 	for _, item := range b.Items {
-		switch {
-		case item.Err != nil:
-			c.Log.Error().Str("Name", item.Name).Uint64("Revision", b.Revision).Err(item.Err).Msg("A configuration cannot be read; the last one stays in force.")
-		case item.Deleted:
+		if item.Deleted {
 			c.Log.Error().Str("Name", item.Name).Uint64("Revision", b.Revision).Msg("The configuration was deleted; the last one stays in force.")
-		default:
-			c.install(item.Value, b.Revision)
+			continue
 		}
+		cfg, err := c.Decode(item.Name, item.Value)
+		if err != nil {
+			c.Log.Error().Str("Name", item.Name).Uint64("Revision", b.Revision).Err(err).Msg("A configuration cannot be read; the last one stays in force.")
+			continue
+		}
+		c.install(cfg, b.Revision)
 	}
 }
 
@@ -63,9 +67,10 @@
 
 // Servers is the Sink that lists backend servers.
 type Servers struct {
-	board *blackboard.Gateway
-	timer *timer.Service
-	log   zerolog.Logger
+	board  *blackboard.Gateway
+	decode func(name string, value []byte) (registrar.Server, error)
+	timer  *timer.Service
+	log    zerolog.Logger
 
 	mu        sync.Mutex
 	registrar *registrar.Registrar
@@ -77,9 +82,10 @@
 const maxUnreadable = 1024
 
 // NewServers returns a Sink that writes the section Servers.
-func NewServers(board *blackboard.Gateway, t *timer.Service, log zerolog.Logger, cfg registrar.Config) *Servers {
+func NewServers(board *blackboard.Gateway, decode func(string, []byte) (registrar.Server, error), t *timer.Service, log zerolog.Logger, cfg registrar.Config) *Servers {
 	return &Servers{
 		board:      board,
+		decode:     decode,
 		timer:      t,
 		log:        log,
 		registrar:  registrar.New(cfg),
@@ -88,7 +94,7 @@
 }
 
 // Replace takes the whole list.
-func (s *Servers) Replace(b storer.Batch[registrar.Server]) {
+func (s *Servers) Replace(b storer.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.registrar.Replace(s.timer.Now(), b.Revision, s.changes(b))
@@ -96,16 +102,13 @@
 }
 
 // Apply takes changes.
-func (s *Servers) Apply(b storer.Batch[registrar.Server]) {
+func (s *Servers) Apply(b storer.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.registrar.Apply(s.timer.Now(), b.Revision, s.changes(b))
 	s.publish()
 }
 
-// Lost does nothing: the servers that are known stay in use.
-func (s *Servers) Lost() {}
-
 // Returned extends the grace period of lapsed entries.
 func (s *Servers) Returned() {
 	s.mu.Lock()
@@ -130,19 +133,19 @@
 	s.board.Servers.Write(s.registrar.View())
 }
 
-func (s *Servers) changes(b storer.Batch[registrar.Server]) []registrar.Change {
+func (s *Servers) changes(b storer.Batch) []registrar.Change {
 	changes := make([]registrar.Change, 0, len(b.Items))
 	for _, item := range b.Items {
 		c := registrar.Change{
 			ID: item.Name,
 		}
-		switch {
-		case item.Err != nil:
-			s.logUnreadable(item)
-		case !item.Deleted:
-			v := item.Value
-			c.Server = &v
-			s.log.Debug().Str("Server", v.ID).Str("Service", v.Service).Bool("Draining", v.Draining).Uint64("Revision", b.Revision).Msg("An entry changed.")
+		if !item.Deleted {
+			v, err := s.decode(item.Name, item.Value)
+			if err != nil {
+				s.logUnreadable(item.Name, err)
+			} else {
+				c.Server = &v
+			}
 		}
 		if c.Server == nil || c.Server.Draining {
 			s.log.Info().Str("Server", item.Name).Bool("Deleted", item.Deleted).Uint64("Revision", b.Revision).Msg("A backend server gets nothing new.")
@@ -152,28 +155,28 @@
 	return changes
 }
 
-func (s *Servers) logUnreadable(item storer.Item[registrar.Server]) {
-	if _, ok := s.unreadable[item.Name]; ok || len(s.unreadable) >= maxUnreadable {
+func (s *Servers) logUnreadable(name string, err error) {
+	if _, ok := s.unreadable[name]; ok || len(s.unreadable) >= maxUnreadable {
 		return
 	}
-	s.unreadable[item.Name] = struct{}{}
-	s.log.Warn().Str("Server", item.Name).Err(item.Err).Msg("An entry names no usable backend server.")
+	s.unreadable[name] = struct{}{}
+	s.log.Warn().Str("Server", name).Err(err).Msg("An entry names no usable backend server.")
 }
 
 // Zones is the Sink of evacuated zones. The name of an object is that of the zone.
 type Zones struct {
-	silent
+	steady
 	Board *blackboard.Gateway
 	Log   zerolog.Logger
 }
 
 // Replace takes the whole list.
-func (z *Zones) Replace(b storer.Batch[struct{}]) {
+func (z *Zones) Replace(b storer.Batch) {
 	z.write(b, map[string]struct{}{})
 }
 
 // Apply takes changes.
-func (z *Zones) Apply(b storer.Batch[struct{}]) {
+func (z *Zones) Apply(b storer.Batch) {
 	zones := map[string]struct{}{}
 	for name := range z.Board.Zones.Read().Zones {
 		zones[name] = struct{}{}
@@ -181,7 +184,7 @@
 	z.write(b, zones)
 }
 
-func (z *Zones) write(b storer.Batch[struct{}], zones map[string]struct{}) {
+func (z *Zones) write(b storer.Batch, zones map[string]struct{}) {
 	for _, item := range b.Items {
 		if item.Deleted {
 			delete(zones, item.Name)
@@ -198,36 +201,62 @@
 
 // Fleet is the Sink of entry VMs.
 type Fleet struct {
-	silent
+	steady
 	Board *blackboard.Gateway
+	Log   zerolog.Logger
 	// Changed is called with the number of VMs, at least 1.
 	Changed func(n int)
 }
 
+// entry is what a VM says of itself at the platform. The name of the object is that of the VM.
+type entry struct {
+	Zone    string
+	Address netip.AddrPort
+}
+
+// EncodeVM returns the value of a VM's object.
+func EncodeVM(vm blackboard.VM) ([]byte, error) {
+	return json.Marshal(entry{
+		Zone:    vm.Zone,
+		Address: vm.Address,
+	})
+}
+
 // Replace takes the whole list.
-func (f *Fleet) Replace(b storer.Batch[struct{}]) {
-	f.write(b, nil)
+func (f *Fleet) Replace(b storer.Batch) {
+	f.write(b, map[string]blackboard.VM{})
 }
 
 // Apply takes changes.
-func (f *Fleet) Apply(b storer.Batch[struct{}]) {
-	f.write(b, f.Board.Members.Read().Names)
+func (f *Fleet) Apply(b storer.Batch) {
+	vms := map[string]blackboard.VM{}
+	for _, vm := range f.Board.Members.Read().VMs {
+		vms[vm.Name] = vm
+	}
+	f.write(b, vms)
 }
 
-func (f *Fleet) write(b storer.Batch[struct{}], names []string) {
-	names = slices.Clone(names)
+func (f *Fleet) write(b storer.Batch, vms map[string]blackboard.VM) {
 	for _, item := range b.Items {
-		i, found := slices.BinarySearch(names, item.Name)
-		switch {
-		case item.Deleted && found:
-			names = slices.Delete(names, i, i+1)
-		case !item.Deleted && !found:
-			names = slices.Insert(names, i, item.Name)
+		delete(vms, item.Name)
+		if item.Deleted {
+			continue
+		}
+		var e entry
+		if err := json.Unmarshal(item.Value, &e); err != nil {
+			f.Log.Warn().Str("VM", item.Name).Err(err).Msg("The entry of a VM cannot be read; the VM is not followed.")
+		}
+		vms[item.Name] = blackboard.VM{
+			Name:    item.Name,
+			Zone:    e.Zone,
+			Address: e.Address,
 		}
 	}
 	f.Board.Members.Write(&blackboard.Fleet{
 		Revision: b.Revision,
-		Names:    names,
+		VMs: slices.SortedFunc(maps.Values(vms), func(a, b blackboard.VM) int {
+			return cmp.Compare(a.Name, b.Name)
+		}),
 	})
-	f.Changed(max(len(names), 1))
+	f.Changed(max(len(vms), 1))
 }
--- a/internal/peerer/messages.go
+++ b/internal/peerer/messages.go
@@ -12,6 +12,7 @@
 	"github.com/anvildyke/anvildyke/internal/classifier"
 	"github.com/anvildyke/anvildyke/internal/connector"
 	"github.com/anvildyke/anvildyke/internal/recorder"
+	"github.com/anvildyke/anvildyke/internal/storer"
 )
 
 // Names of the methods that entry VMs call on each other.
@@ -26,6 +27,7 @@
 	MethodFetchParts = "Peer.FetchParts"
 	MethodEvents     = "Peer.Events"
 	MethodQuery      = "Entry.Query"
+	MethodFollow     = "Feed.Follow"
 )
 
 // Sub is one sub-request of a batch.
@@ -389,3 +391,31 @@
 	HTTPStatus int
 	Body       []byte
 }
+
+// FollowRequest asks for the objects of the platform that changed after the revisions that the sender has.
+type FollowRequest struct {
+	Stamp recorder.Stamp
+	// After maps each kind to a revision, 0 for none.
+	After map[string]uint64
+	// Wait is how long the reply may wait for changes.
+	Wait time.Duration
+}
+
+// FollowReply has the changes of the kinds that changed.
+type FollowReply struct {
+	Stamp recorder.Stamp
+	// Synced says that the replying VM knows all kinds.
+	Synced bool
+	// Away says that the platform does not answer the replying VM.
+	Away    bool
+	Updates []FollowUpdate
+}
+
+// FollowUpdate has the changes of a kind between two revisions, or with Whole set the list at the later one.
+type FollowUpdate struct {
+	Kind     string
+	Whole    bool
+	After    uint64
+	Revision uint64
+	Items    []storer.Item
+}
--- a/internal/peerer/stamps.go
+++ b/internal/peerer/stamps.go
@@ -30,6 +30,8 @@
 func (m *EventsReply) stamp() *recorder.Stamp       { return &m.Stamp }
 func (m *QueryRequest) stamp() *recorder.Stamp      { return &m.Stamp }
 func (m *QueryReply) stamp() *recorder.Stamp        { return &m.Stamp }
+func (m *FollowRequest) stamp() *recorder.Stamp     { return &m.Stamp }
+func (m *FollowReply) stamp() *recorder.Stamp       { return &m.Stamp }
 
 // stampMessage marks body as sent now.
 func stampMessage(r *recorder.Recorder, body any) {
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,6 +19,7 @@
 	"github.com/anvildyke/anvildyke/internal/follower"
 	"github.com/anvildyke/anvildyke/internal/logger"
 	"github.com/anvildyke/anvildyke/internal/meter"
+	"github.com/anvildyke/anvildyke/internal/peerer"
 	"github.com/anvildyke/anvildyke/internal/pooler"
 	"github.com/anvildyke/anvildyke/internal/recorder"
 	"github.com/anvildyke/anvildyke/internal/registrar"
@@ -50,7 +50,7 @@
 
 // Directory lists the entry VMs at the platform.
 type Directory interface {
-	Add(ctx context.Context, vm string) error
+	Add(ctx context.Context, vm string, value []byte) error
 	Remove(ctx context.Context, vm string) error
 }
 
@@ -60,14 +60,22 @@
 	dispatcher.Format
 }
 
+// Kinds are the platform's names of the kinds of objects.
+type Kinds struct {
+	Config     string
+	Server     string
+	Evacuation string
+	VM         string
+}
+
 // GatewayParts are the collaborators of a Gateway that know the platform.
 type GatewayParts struct {
-	Configs     storer.Feed[router.Config]
-	Servers     storer.Feed[registrar.Server]
-	Evacuations storer.Feed[struct{}]
-	VMs         storer.Feed[struct{}]
-	Directory   Directory
-	Format      GatewayFormat
+	Source       storer.Source
+	Kinds        Kinds
+	DecodeConfig func(name string, value []byte) (router.Config, error)
+	DecodeServer func(name string, value []byte) (registrar.Server, error)
+	Directory    Directory
+	Format       GatewayFormat
 }
 
 // Gateway passes requests of callers on to the platform's backend servers.
@@ -86,7 +94,9 @@
 	servers *follower.Servers
 	accept  *acceptor.Acceptor
 	drainer *drainer.Drainer
-	wg      sync.WaitGroup
+	follow  *follower.Follower
+	peers   *peerer.Server
+	pool    *peerer.Pool
 }
 
 // NewGateway builds the gateway. Logs go to w.
@@ -116,9 +126,19 @@
 	}
 	g.tracker.SetVMs(assumedVMs)
 	g.meter = meter.NewProbe(g.phase)
-	g.servers = follower.NewServers(g.board, g.timer, l.Part("registrar"), registrar.Config{
+	g.servers = follower.NewServers(g.board, parts.DecodeServer, g.timer, l.Part("registrar"), registrar.Config{
 		Grace: max(0, min(lapseGrace, cfg.DrainTimeout-lapseMargin)),
 	})
+	rec := recorder.New(cfg.Name, g.timer)
+	g.pool = peerer.NewPool(rec, l)
+	g.pool.Source = cfg.Peers.Addr()
+	g.peers = peerer.NewServer(rec, l)
+	g.buildFollower()
+	if err := g.peers.Register("Feed", &follower.Server{
+		Follower: g.follow,
+	}); err != nil {
+		return nil, err
+	}
 	g.build()
 	return g, nil
 }
@@ -126,6 +146,37 @@
 // assumedVMs is the number of VMs that share the limits as long as their list is not known.
 const assumedVMs = 8
 
+func (g *Gateway) buildFollower() {
+	log := g.logger.Part("follower")
+	g.follow = follower.New(follower.Options{
+		Name: g.cfg.Name,
+		Zone: g.cfg.Zone,
+		Kinds: []*follower.Log{
+			follower.NewLog(g.parts.Kinds.Config, &follower.Configs{
+				Board:  g.board,
+				Decode: g.parts.DecodeConfig,
+				Log:    log,
+			}),
+			follower.NewLog(g.parts.Kinds.Server, g.servers),
+			follower.NewLog(g.parts.Kinds.Evacuation, &follower.Zones{
+				Board: g.board,
+				Log:   log,
+			}),
+			follower.NewLog(g.parts.Kinds.VM, &follower.Fleet{
+				Board:   g.board,
+				Log:     log,
+				Changed: g.resize,
+			}),
+		},
+		Source: g.parts.Source,
+		Client: g.pool,
+		Board:  g.board,
+		Seeds:  g.cfg.Seeds,
+		Timer:  g.timer,
+		Log:    log,
+	})
+}
+
 func (g *Gateway) build() {
 	g.accept = acceptor.New(acceptor.Options{
 		Board: g.board,
@@ -191,9 +242,15 @@
 		WaitRequests:     g.waitRequests,
 		CloseConnections: g.closeConnections,
 	})
+	var peers net.Listener
+	if g.cfg.Peers.IsValid() {
+		if peers, err = net.Listen("tcp", g.cfg.Peers.String()); err != nil {
+			return errors.Join(fmt.Errorf("listening for other VMs: %w", err), callers.Close(), probes.Close())
+		}
+	}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	g.start(work, callers, probes)
+	g.start(work, callers, probes, peers)
 	g.log.Info().Stringer("Callers", g.cfg.Callers).Str("AvailabilityZone", g.cfg.Zone).Msg("The gateway has started.")
 	<-ctx.Done()
 	g.log.Info().Int("Running", g.accept.Running()).Msg("The gateway stops.")
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -6,52 +6,15 @@
 	"net"
 	"time"
 
+	"github.com/anvildyke/anvildyke/internal/blackboard"
 	"github.com/anvildyke/anvildyke/internal/follower"
 	"github.com/anvildyke/anvildyke/internal/registrar"
-	"github.com/anvildyke/anvildyke/internal/router"
 )
 
 // start starts the goroutines of the gateway. They end with ctx or with their listener.
-func (g *Gateway) start(ctx context.Context, callers, probes net.Listener) {
-	log := g.logger.Part("follower")
+func (g *Gateway) start(ctx context.Context, callers, probes, peers net.Listener) {
 	loops := []func(context.Context){
-		follower.New(follower.Options[router.Config]{
-			Kind: "configurations",
-			Feed: g.parts.Configs,
-			Sink: &follower.Configs{
-				Board: g.board,
-				Log:   log,
-			},
-			Timer: g.timer,
-			Log:   log,
-		}).Run,
-		follower.New(follower.Options[registrar.Server]{
-			Kind:  "servers",
-			Feed:  g.parts.Servers,
-			Sink:  g.servers,
-			Timer: g.timer,
-			Log:   log,
-		}).Run,
-		follower.New(follower.Options[struct{}]{
-			Kind: "evacuations",
-			Feed: g.parts.Evacuations,
-			Sink: &follower.Zones{
-				Board: g.board,
-				Log:   log,
-			},
-			Timer: g.timer,
-			Log:   log,
-		}).Run,
-		follower.New(follower.Options[struct{}]{
-			Kind: "VMs",
-			Feed: g.parts.VMs,
-			Sink: &follower.Fleet{
-				Board:   g.board,
-				Changed: g.resize,
-			},
-			Timer: g.timer,
-			Log:   log,
-		}).Run,
+		g.follow.Run,
 		g.register,
 		g.clear,
 		g.accept.Run,
@@ -62,7 +25,7 @@
 		}
 		go l.run(ctx)
 	}
-	for _, s := range []*listening{
+	servers := []*listening{
 		{
 			serve: g.accept.Serve,
 			on:    callers,
@@ -71,7 +34,16 @@
 			serve: g.meter.Serve,
 			on:    probes,
 		},
-	} {
+	}
+	if peers != nil {
+		servers = append(servers, &listening{
+			serve: func(l net.Listener) error {
+				return g.peers.Serve(ctx, l)
+			},
+			on: peers,
+		})
+	}
+	for _, s := range servers {
 		go s.run(g)
 	}
 }
@@ -106,9 +78,18 @@
 
 // register adds this VM to the platform's list.
 func (g *Gateway) register(ctx context.Context) {
+	value, err := follower.EncodeVM(blackboard.VM{
+		Name:    g.cfg.Name,
+		Zone:    g.cfg.Zone,
+		Address: g.cfg.Peers,
+	})
+	if err != nil {
+		g.log.Error().Err(err).Msg("The entry of this VM cannot be encoded.")
+		return
+	}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := g.parts.Directory.Add(call, g.cfg.Name)
+		err := g.parts.Directory.Add(call, g.cfg.Name, value)
 		cancel()
 		if err == nil {
 			return
