Read the settings again at SIGHUP and when their file changes

Cause: SIGHUP ended the process. The file is now read at the signal and every two seconds, a file with faults changes nothing, and the retry budget takes effect at once.

--- a/cmd/anvildyked/gateway.go
+++ b/cmd/anvildyked/gateway.go
@@ -17,7 +17,8 @@
 
 // runGateway serves on the users' platform with the settings file that the environment names.
 func runGateway() int {
-	cfg, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	cfg, err := platform.ReadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return configurer.ExitCode
@@ -37,6 +38,10 @@
 			Store: store,
 		},
 		Format: platform.Exchange{},
+		Settings: runner.SettingsFile{
+			Path:  path,
+			Parse: platform.ParseSettings,
+		},
 	}, os.Stdout)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -75,6 +75,7 @@
 	DecodeConfig func(name string, value []byte) (router.Config, error)
 	DecodeServer func(name string, value []byte) (registrar.Server, error)
 	Directory    Directory
+	Settings     SettingsFile
 	Format       GatewayFormat
 }
 
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -13,7 +13,12 @@
 
 // start starts the goroutines of the gateway. They end with ctx or with their listener.
 func (g *Gateway) start(ctx context.Context, callers, probes, peers net.Listener) {
+	reloads := &reloader{
+		gateway: g,
+		file:    g.parts.Settings,
+	}
 	loops := []func(context.Context){
+		reloads.run,
 		g.follow.Run,
 		g.register,
 		g.clear,
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -39,9 +39,8 @@
 
 // Spender holds a budget for each service. Its methods are safe for concurrent use.
 type Spender struct {
+	mu  sync.Mutex
 	cfg Config
-
-	mu sync.Mutex
 	// vms is the number of VMs that share Extra, at least 1.
 	vms      int
 	services map[string]*account
@@ -71,6 +70,16 @@
 	s.vms = max(n, 1)
 }
 
+// SetConfig changes the bounds. What was counted in a window of another length is forgotten.
+func (s *Spender) SetConfig(cfg Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cfg.Window != s.cfg.Window {
+		s.services = map[string]*account{}
+	}
+	s.cfg = cfg
+}
+
 // First counts the first request for a service.
 func (s *Spender) First(service string, now time.Time) {
 	s.mu.Lock()
