--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -382,6 +382,7 @@
 
 // advance sends to shards that found no server before, and duplicates attempts that are late.
 func (j *job) advance(now time.Time) {
+	var hedged []string
 	for i := range j.shards {
 		s := &j.shards[i]
 		if s.done || s.failed {
@@ -391,27 +392,31 @@
 			j.start(i, now)
 			continue
 		}
-		if j.request.Route.Idempotent && s.running == 1 && now.Sub(s.sentAt) >= j.hedgeAfter && now.Before(j.answerAt) {
-			j.hedge(i, now)
+		if j.request.Route.Idempotent && s.running == 1 && now.Sub(s.sentAt) >= j.hedgeAfter && now.Before(j.answerAt) && j.hedge(i, now) {
+			hedged = append(hedged, s.service.Name)
 		}
 	}
+	if len(hedged) > 0 {
+		j.log(now, "hedge").Strs("Services", hedged[:min(len(hedged), maxNamed)]).Int("Count", len(hedged)).Dur("After", j.hedgeAfter).Msg("Late attempts were duplicated.")
+	}
 }
 
-func (j *job) hedge(i int, now time.Time) {
+// hedge duplicates the attempt of a shard and reports whether it did.
+func (j *job) hedge(i int, now time.Time) bool {
 	s := &j.shards[i]
 	if s.ran+s.running >= j.request.Route.Attempts || len(s.tried) >= maxSends || !j.hasAlternative(s, now) {
-		return
+		return false
 	}
 	if !j.d.o.Spender.Spend(s.service.Name, spender.Hedge, now) {
 		j.d.o.Counts.HedgesDenied.Inc()
 		s.sentAt = now
-		return
+		return false
 	}
-	age := now.Sub(s.sentAt)
-	if j.start(i, now) {
-		j.d.o.Counts.Hedges.Inc()
-		j.log(now, "hedge").Str("Service", s.service.Name).Dur("After", age).Msg("A late attempt was duplicated.")
+	if !j.start(i, now) {
+		return false
 	}
+	j.d.o.Counts.Hedges.Inc()
+	return true
 }
 
 // hasAlternative reports whether another server can take the request now.
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -81,39 +81,46 @@
 
 // Gateway passes requests of callers on to the platform's backend servers.
 type Gateway struct {
-	cfg     configurer.Gateway
-	parts   GatewayParts
-	board   *blackboard.Gateway
-	core    *blackboard.Board
-	timer   *timer.Service
-	logger  logger.Logger
-	log     zerolog.Logger
-	meter   *meter.Meter
-	tracker *tracker.Tracker
-	pooler  *pooler.Pooler
-	spender *spender.Spender
-	servers *follower.Servers
-	accept  *acceptor.Acceptor
-	drainer *drainer.Drainer
-	follow  *follower.Follower
-	peers   *peerer.Server
-	pool    *peerer.Pool
+	cfg    configurer.Gateway
+	parts  GatewayParts
+	board  *blackboard.Gateway
+	core   *blackboard.Board
+	timer  *timer.Service
+	logger logger.Logger
+	log    zerolog.Logger
+	// logs writes the rest of the log lines when it is closed.
+	logs    io.Closer
+	dropped *logger.Dropped
+	// reported is the number of dropped lines that the log tells of.
+	reported uint64
+	meter    *meter.Meter
+	tracker  *tracker.Tracker
+	pooler   *pooler.Pooler
+	spender  *spender.Spender
+	servers  *follower.Servers
+	accept   *acceptor.Acceptor
+	drainer  *drainer.Drainer
+	follow   *follower.Follower
+	peers    *peerer.Server
+	pool     *peerer.Pool
 }
 
 // NewGateway builds the gateway. Logs go to w.
 func NewGateway(cfg configurer.Gateway, parts GatewayParts, w io.Writer) (*Gateway, error) {
-	l, err := logger.New(w, "info", cfg.Name)
+	l, dropped, logs, err := logger.NewBounded(w, "info", cfg.Name)
 	if err != nil {
 		return nil, err
 	}
 	g := &Gateway{
-		cfg:    cfg,
-		parts:  parts,
-		board:  &blackboard.Gateway{},
-		core:   &blackboard.Board{},
-		timer:  timer.NewWall(),
-		logger: l,
-		log:    l.Part("runner"),
+		cfg:     cfg,
+		parts:   parts,
+		board:   &blackboard.Gateway{},
+		core:    &blackboard.Board{},
+		timer:   timer.NewWall(),
+		logger:  l,
+		dropped: dropped,
+		logs:    logs,
+		log:     l.Part("runner"),
 		tracker: tracker.New(tracker.Config{
 			Zone:   cfg.Zone,
 			Region: cfg.Region,
@@ -127,6 +134,7 @@
 	}
 	g.tracker.SetVMs(assumedVMs)
 	g.meter = meter.NewProbe(g.phase)
+	g.measure()
 	g.servers = follower.NewServers(g.board, parts.DecodeServer, g.timer, l.Part("registrar"), registrar.Config{
 		Grace: max(0, min(lapseGrace, cfg.DrainTimeout-lapseMargin)),
 	})
@@ -147,6 +155,22 @@
 // assumedVMs is the number of VMs that share the limits as long as their list is not known.
 const assumedVMs = 8
 
+// measure adds the metrics that are read from the parts.
+func (g *Gateway) measure() {
+	g.meter.Counter("log_lines_dropped_total", "Log lines that were dropped to keep the volume bounded.", func() float64 {
+		return float64(g.dropped.Total())
+	})
+	g.meter.Counter("connections_opened_total", "Connections that were opened to backend servers.", func() float64 {
+		return float64(g.pooler.Opened())
+	})
+	g.meter.Gauge("config_version", "Version of the configuration in force.", func() float64 {
+		return float64(g.board.Routes.Read().Version)
+	})
+	g.meter.Gauge("vms", "Entry VMs on the platform's list.", func() float64 {
+		return float64(len(g.board.Members.Read().VMs))
+	})
+}
+
 func (g *Gateway) buildFollower() {
 	log := g.logger.Part("follower")
 	g.follow = follower.New(follower.Options{
@@ -188,12 +212,12 @@
 			Spender: g.spender,
 			Format:  g.parts.Format,
 			Timer:   g.timer,
-			Log:     g.logger.Part("dispatcher"),
+			Log:     g.logger.Requests("dispatcher", g.dropped),
 			Counts:  dispatcher.NewCounts(g.meter.Registry()),
 		}),
 		Format:   g.parts.Format,
 		Timer:    g.timer,
-		Log:      g.logger.Part("acceptor"),
+		Log:      g.logger.Requests("acceptor", g.dropped),
 		Draining: g.draining,
 		Counts:   acceptor.NewCounts(g.meter.Registry()),
 	})
@@ -259,5 +283,5 @@
 	defer end()
 	err = g.drainer.Shutdown(stop)
 	g.log.Info().Err(err).Msg("The gateway has stopped.")
-	return err
+	return errors.Join(err, g.logs.Close())
 }
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -133,6 +133,10 @@
 
 func (g *Gateway) tidy(now time.Time) {
 	g.servers.Expire(now)
+	if n := g.dropped.Total(); n > g.reported+reportLines {
+		g.log.Warn().Uint64("Dropped", n-g.reported).Msg("Log lines were dropped.")
+		g.reported = n
+	}
 	view := g.board.Servers.Read()
 	keys := map[registrar.Key]struct{}{}
 	for _, members := range view.ByService {
@@ -160,6 +164,9 @@
 	})
 }
 
+// reportLines is the number of dropped lines of which the log tells in one line.
+const reportLines = 100
+
 // waitPeriod is the time between looks at the running requests while the gateway stops.
 const waitPeriod = 20 * time.Millisecond
 
