Keep the calls of the store few at the start and in outages

A VM now reads the list of VMs first, readers ping the store by stale reads, followers that reach it themselves pass over a reader that does not, and a list is passed on as what it changes. Servers that cannot be reached are tried by connections of their own instead of requests, a refusal for want of servers names the two seconds in which entries return, and the new version of a roll-out gets no requests, because nothing judges it yet.

--- a/cmd/anvildyked/gateway.go
+++ b/cmd/anvildyked/gateway.go
@@ -30,9 +30,11 @@
 			Config:     platform.KindConfig,
 			Server:     platform.KindServer,
 			Evacuation: platform.KindEvacuation,
+			Move:       platform.KindRollout,
 			VM:         platform.KindVM,
 		},
 		DecodeConfig: platform.DecodeConfig,
+		DecodeMove:   platform.DecodeRollout,
 		DecodeServer: platform.DecodeServer(cfg.Regions),
 		Directory: platform.Directory{
 			Store: store,
--- a/internal/blackboard/gateway.go
+++ b/internal/blackboard/gateway.go
@@ -29,6 +29,8 @@
 	Zones Section[Evacuated]
 	// Members is written by follower.
 	Members Section[Fleet]
+	// Moving is written by follower.
+	Moving Section[Moving]
 }
 
 // Fleet is the list of entry VMs.
@@ -45,3 +47,26 @@
 	// Address is where other VMs connect, the zero value if they cannot.
 	Address netip.AddrPort
 }
+
+// VersionMove is an order to move the requests of a service to another version.
+type VersionMove struct {
+	Service string
+	To      string
+}
+
+// Moving holds the orders to move services. A version that a service is to move to gets no requests, because nothing yet judges
+// whether it is good.
+type Moving struct {
+	Revision uint64
+	ByName   map[string]VersionMove
+}
+
+// Holds reports whether a version of a service gets no requests.
+func (m *Moving) Holds(service, version string) bool {
+	for _, v := range m.ByName {
+		if v.Service == service && v.To == version {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -143,6 +143,7 @@
 		request:  r,
 		view:     d.o.Board.Servers.Read(),
 		zones:    d.o.Board.Zones.Read(),
+		moving:   d.o.Board.Moving.Read(),
 		deadline: deadline,
 	}
 	j.plan()
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -52,6 +52,7 @@
 	request  Request
 	view     *registrar.View
 	zones    *blackboard.Evacuated
+	moving   *blackboard.Moving
 	deadline time.Time
 	// ctx ends the attempts.
 	ctx    context.Context
@@ -121,7 +122,7 @@
 	all := j.view.ByService[service]
 	members := make([]registrar.Member, 0, len(all))
 	for _, m := range all {
-		if !j.zones.Holds(m.Zone) && j.request.Route.Allows(m.Region) {
+		if !j.zones.Holds(m.Zone) && !j.moving.Holds(service, m.Version) && j.request.Route.Allows(m.Region) {
 			members = append(members, m)
 		}
 	}
@@ -212,9 +213,8 @@
 	}
 }
 
-// absentRetry is when callers return after a refusal for want of servers: entries that lapsed are back within two seconds, and
-// callers honor at most a third of their time.
-const absentRetry = 500 * time.Millisecond
+// absentRetry is when callers return after a refusal for want of servers: entries that lapsed are back within two seconds.
+const absentRetry = 2 * time.Second
 
 // start sends the request to a server of the shard, and reports whether it did.
 func (j *job) start(i int, now time.Time) bool {
--- a/internal/follower/direct.go
+++ b/internal/follower/direct.go
@@ -16,6 +16,8 @@
 	// watchWait is how long a watch waits for changes. Keep-alive probes find a connection that went silent sooner; a watch that
 	// the platform forgot is found after this time.
 	watchWait = 5 * time.Second
+	// lostWait is that time while the platform does not answer, the least that can be stated.
+	lostWait = time.Millisecond
 	// callTimeout bounds a call without an answer, and what a watch may take beyond its wait.
 	callTimeout = 1200 * time.Millisecond
 	// listTimeout bounds the reading of a list of several pages.
@@ -61,8 +63,13 @@
 // watch follows the changes until they are not known any more or ctx ends.
 func (d *direct) watch(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
-		b, err := d.source.WatchKind(call, d.log.kind, revision, watchWait)
+		wait := watchWait
+		if d.lost {
+			// The first answer after an outage says at once that it is over.
+			wait = lostWait
+		}
+		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		b, err := d.source.WatchKind(call, d.log.kind, revision, wait)
 		cancel()
 		if errors.Is(err, storer.ErrHistoryGone) {
 			d.out.Info().Str("Kind", d.log.kind).Uint64("Revision", revision).Msg("The history is gone and the list is read again.")
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -21,14 +21,22 @@
 	// followWait is how long another VM waits for changes before it replies. A VM that fails is noticed after this time and
 	// followGrace, so that a third source is reached within the few seconds in which a configuration has to be in force.
 	followWait = 500 * time.Millisecond
-	// followGrace is what a reply may take beyond its wait: two ways between regions and the processor time of a busy VM.
-	followGrace = 400 * time.Millisecond
+	// followGrace is what a reply may take beyond its wait: the processor time of a busy VM, and the sending of changes of some
+	// 100 KB to all VMs of a zone over a link of 20 Mbit/s.
+	followGrace = 700 * time.Millisecond
 	// suspectTime is how long a VM that failed is passed over.
-	suspectTime = 4 * time.Second
-	// startReplies is how many replies without a list are accepted from a VM that is starting.
-	startReplies = 3
-	// reviewPeriod is the time between looks whether another VM should read the platform.
-	reviewPeriod = time.Second
+	suspectTime = 10 * time.Second
+	// startTime is how long a VM that is starting is followed without a list.
+	startTime = 2 * time.Second
+	// pingPeriod is the time between questions whether the platform still answers, and between looks whether another VM should
+	// read it. A platform that has turned silent for this VM alone leaves its watches waiting without an error.
+	pingPeriod = 700 * time.Millisecond
+	// pingTimeout bounds such a question.
+	pingTimeout = 600 * time.Millisecond
+	// awayPause is the pause between questions to a VM that has lost the platform.
+	awayPause = 300 * time.Millisecond
+	// askPeriod is the time between questions to other VMs while the platform does not answer.
+	askPeriod = 2 * time.Second
 	// rankKey is the key by which the VMs of a zone are ranked.
 	rankKey = "follower"
 )
@@ -39,7 +47,9 @@
 	Name string
 	Zone string
 	// Kinds are the kinds to follow.
-	Kinds  []*Log
+	Kinds []*Log
+	// VMs is the one of Kinds that lists the entry VMs.
+	VMs    *Log
 	Source storer.Source
 	Client peerer.Client
 	Board  *blackboard.Gateway
@@ -56,6 +66,9 @@
 	mu sync.Mutex
 	// suspects are VMs that are passed over until a time.
 	suspects map[string]time.Time
+
+	// reached is the outcome of the last ping. It belongs to the goroutine of Run.
+	reached bool
 }
 
 // New returns a Follower that does not run yet.
@@ -69,6 +82,7 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	last := ""
+	f.findVMs(ctx)
 	for ctx.Err() == nil {
 		vm := f.source()
 		if vm.Name != last {
@@ -83,6 +97,21 @@
 	}
 }
 
+// findVMs reads the list of VMs once, so that a VM that starts knows whom to follow and reads nothing else itself.
+func (f *Follower) findVMs(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	l := f.o.VMs
+	b, err := f.o.Source.ListKind(call, l.kind)
+	if err != nil {
+		f.o.Log.Warn().Err(err).Msg("The list of VMs cannot be read.")
+		l.SetAway(true)
+		f.askAround(ctx)
+		return
+	}
+	l.Replace(b)
+}
+
 // source returns the VM to follow, which is this one if it reads the platform itself.
 func (f *Follower) source() blackboard.VM {
 	f.mu.Lock()
@@ -121,6 +150,23 @@
 
 // readPlatform reads the platform as long as this VM is the one to do so.
 func (f *Follower) readPlatform(ctx context.Context) {
+	var asked time.Time
+	for ctx.Err() == nil && f.source().Name == f.o.Name {
+		if f.ping(ctx) {
+			f.readKinds(ctx)
+			continue
+		}
+		f.setAway(true)
+		if now := f.o.Timer.Now(); now.Sub(asked) >= askPeriod {
+			asked = now
+			f.askAround(ctx)
+		}
+		f.wait(ctx, awayPause)
+	}
+}
+
+// readKinds follows all kinds at the platform until it does not answer or another VM should read it.
+func (f *Follower) readKinds(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	for _, l := range f.o.Kinds {
@@ -129,6 +175,8 @@
 			source: f.o.Source,
 			timer:  f.o.Timer,
 			out:    f.o.Log,
+			lost:   l.Away(),
+			since:  f.o.Timer.Now(),
 		}
 		wg.Go(func() {
 			d.run(ctx)
@@ -136,36 +184,42 @@
 	}
 	defer wg.Wait()
 	defer cancel()
-	tick := f.o.Timer.Subscribe(reviewPeriod)
+	tick := f.o.Timer.Subscribe(pingPeriod)
 	defer tick.Stop()
-	away := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
-		if f.source().Name != f.o.Name {
+		if f.source().Name != f.o.Name || !f.ping(ctx) {
 			return
 		}
-		if !f.isAway() {
-			away = 0
-			continue
-		}
-		// Other VMs may still reach the platform.
-		if away++; away%2 == 1 {
-			f.askAround(ctx)
-		}
 	}
 }
 
-func (f *Follower) isAway() bool {
-	for _, l := range f.o.Kinds {
-		if _, _, away, _ := l.Since(^uint64(0)); away {
-			return true
-		}
+// ping reports whether the platform answers this VM.
+func (f *Follower) ping(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	err := f.o.Source.Ping(call)
+	if ctx.Err() != nil {
+		return false
+	}
+	if reached := err == nil; reached != f.reached {
+		f.reached = reached
+		f.o.Log.Info().Bool("Answers", reached).Err(err).Msg("Whether the platform answers this VM has changed.")
+	}
+	return err == nil
+}
+
+func (f *Follower) wait(ctx context.Context, d time.Duration) {
+	end := f.o.Timer.After(d)
+	defer end.Stop()
+	select {
+	case <-end.C:
+	case <-ctx.Done():
 	}
-	return false
 }
 
 // maxAsked bounds the VMs that are asked at a time while the platform does not answer.
@@ -203,7 +257,8 @@
 
 // followVM follows another VM until it fails or another source is better.
 func (f *Follower) followVM(ctx context.Context, vm blackboard.VM) {
-	unsynced := 0
+	began := f.o.Timer.Now()
+	away := 0
 	for ctx.Err() == nil {
 		reply, err := f.ask(ctx, vm.Address, followWait)
 		if ctx.Err() != nil {
@@ -214,30 +269,40 @@
 			f.suspect(vm.Name)
 			return
 		}
-		if !reply.Synced {
-			if unsynced++; unsynced < startReplies {
-				continue
+		if !reply.Synced && !reply.Away && f.o.Timer.Now().Sub(began) < startTime {
+			f.take(reply)
+			if f.source().Name != vm.Name {
+				return
 			}
+			continue
 		}
 		if reply.Away || !reply.Synced {
-			f.o.Log.Info().Str("Source", vm.Name).Bool("Synced", reply.Synced).Msg("The source of objects does not reach the platform.")
 			f.take(reply)
-			for _, l := range f.o.Kinds {
-				l.SetAway(true)
+			f.setAway(true)
+			// A VM that is about to read the platform itself has a moment to begin.
+			f.wait(ctx, awayPause)
+			if away++; away > 1 && f.ping(ctx) {
+				f.o.Log.Info().Str("Source", vm.Name).Bool("Synced", reply.Synced).Msg("The source of objects does not reach the platform, which this VM does.")
+				f.suspect(vm.Name)
+				return
 			}
-			f.suspect(vm.Name)
-			return
+			continue
 		}
+		away = 0
 		f.take(reply)
-		for _, l := range f.o.Kinds {
-			l.SetAway(false)
-		}
+		f.setAway(false)
 		if f.source().Name != vm.Name {
 			return
 		}
 	}
 }
 
+func (f *Follower) setAway(away bool) {
+	for _, l := range f.o.Kinds {
+		l.SetAway(away)
+	}
+}
+
 // ask asks another VM for what this one lacks.
 func (f *Follower) ask(ctx context.Context, addr netip.AddrPort, wait time.Duration) (peerer.FollowReply, error) {
 	req := peerer.FollowRequest{
@@ -272,7 +337,7 @@
 			} else {
 				l.Apply(u.After, b)
 			}
-			changed = true
+			changed = changed || u.Whole || len(u.Items) > 0
 		}
 	}
 	return changed
@@ -290,6 +355,8 @@
 	defer end.Stop()
 	for {
 		var wake []<-chan struct{}
+		changes := false
+		reply.Updates = nil
 		reply.Synced = true
 		for _, l := range f.o.Kinds {
 			u, synced, away, changed := l.Since(req.After[l.kind])
@@ -297,10 +364,11 @@
 			reply.Away = reply.Away || away
 			if u != nil {
 				reply.Updates = append(reply.Updates, *u)
+				changes = changes || u.Whole || len(u.Items) > 0
 			}
 			wake = append(wake, changed)
 		}
-		if len(reply.Updates) > 0 || reply.Away || req.Wait <= 0 {
+		if changes || reply.Away || req.Wait <= 0 {
 			return nil
 		}
 		if !waitAny(wake, end.C) {
@@ -309,7 +377,7 @@
 	}
 }
 
-// waitAny waits for one of up to four channels, and returns false at the end of the wait.
+// waitAny waits for one of up to maxKinds channels, and returns false at the end of the wait.
 func waitAny(c []<-chan struct{}, end <-chan time.Time) bool {
 	var all [maxKinds]<-chan struct{}
 	copy(all[:], c)
@@ -318,6 +386,7 @@
 	case <-all[1]:
 	case <-all[2]:
 	case <-all[3]:
+	case <-all[4]:
 	case <-end:
 		return false
 	}
@@ -325,4 +394,4 @@
 }
 
 // maxKinds is the number of kinds that a Follower may have.
-const maxKinds = 4
+const maxKinds = 5
--- a/internal/follower/log.go
+++ b/internal/follower/log.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"sync"
@@ -57,21 +58,47 @@
 	return l.revision, l.synced
 }
 
-// Replace takes a whole list unless a newer one is known.
+// Replace takes a whole list unless a newer one is known. What it changes is kept like other changes, so that VMs that follow this
+// one need not get the whole list too.
 func (l *Log) Replace(b storer.Batch) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.synced && b.Revision < l.revision {
+	if !l.synced {
+		l.synced = true
+		l.revision = b.Revision
+		l.base = b.Revision
+		l.store(b)
+		l.sink.Replace(b)
+		l.signal()
 		return
 	}
-	l.synced = true
-	l.revision = b.Revision
-	l.base = b.Revision
-	l.history = nil
-	l.objects = make(map[string][]byte, len(b.Items))
-	l.store(b)
-	l.sink.Replace(b)
-	l.signal()
+	if b.Revision >= l.revision {
+		l.add(storer.Batch{
+			Items:    l.difference(b.Items),
+			Revision: b.Revision,
+		})
+	}
+}
+
+// difference returns the changes that lead from the objects of the log to a list.
+func (l *Log) difference(list []storer.Item) []storer.Item {
+	var items []storer.Item
+	named := make(map[string]struct{}, len(list))
+	for _, item := range list {
+		named[item.Name] = struct{}{}
+		if old, ok := l.objects[item.Name]; !ok || !bytes.Equal(old, item.Value) {
+			items = append(items, item)
+		}
+	}
+	for name := range l.objects {
+		if _, ok := named[name]; !ok {
+			items = append(items, storer.Item{
+				Name:    name,
+				Deleted: true,
+			})
+		}
+	}
+	return items
 }
 
 // Apply takes the changes between two revisions, and reports false if the log is not at the first one.
@@ -81,9 +108,15 @@
 	if !l.synced || l.revision != after || b.Revision < after {
 		return false
 	}
+	l.add(b)
+	return true
+}
+
+// add takes changes up to a revision.
+func (l *Log) add(b storer.Batch) {
 	l.revision = b.Revision
 	if len(b.Items) == 0 {
-		return true
+		return
 	}
 	l.store(b)
 	l.history = append(l.history, b)
@@ -93,7 +126,6 @@
 	}
 	l.sink.Apply(b)
 	l.signal()
-	return true
 }
 
 func (l *Log) store(b storer.Batch) {
@@ -111,6 +143,13 @@
 	l.changed = make(chan struct{})
 }
 
+// Away reports whether the platform does not answer.
+func (l *Log) Away() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.away
+}
+
 // SetAway notes whether the platform answers.
 func (l *Log) SetAway(away bool) {
 	l.mu.Lock()
@@ -125,7 +164,8 @@
 	l.signal()
 }
 
-// Since returns what a VM at a revision lacks, nil if that is nothing, and a channel that is closed at the next change.
+// Since returns what a VM at a revision lacks, nil if that is nothing, and a channel that is closed at the next change. An update
+// without items says that nothing changed up to its revision.
 func (l *Log) Since(after uint64) (u *peerer.FollowUpdate, synced, away bool, changed <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -152,8 +192,5 @@
 			u.Items = append(u.Items, b.Items...)
 		}
 	}
-	if len(u.Items) == 0 {
-		u = nil
-	}
 	return u, true, l.away, l.changed
 }
--- a/internal/follower/sinks.go
+++ b/internal/follower/sinks.go
@@ -260,3 +260,45 @@
 	})
 	f.Changed(max(len(vms), 1))
 }
+
+// Moves is the Sink of orders to move a service to another version. The service of the order gets no requests on the servers of
+// the new version, see blackboard.Moving.
+type Moves struct {
+	steady
+	Board  *blackboard.Gateway
+	Decode func(name string, value []byte) (blackboard.VersionMove, error)
+	Log    zerolog.Logger
+}
+
+// Replace takes the whole list.
+func (m *Moves) Replace(b storer.Batch) {
+	m.write(b, map[string]blackboard.VersionMove{})
+}
+
+// Apply takes changes.
+func (m *Moves) Apply(b storer.Batch) {
+	m.write(b, maps.Clone(m.Board.Moving.Read().ByName))
+}
+
+func (m *Moves) write(b storer.Batch, moves map[string]blackboard.VersionMove) {
+	if moves == nil {
+		moves = map[string]blackboard.VersionMove{}
+	}
+	for _, item := range b.Items {
+		if item.Deleted {
+			delete(moves, item.Name)
+			continue
+		}
+		v, err := m.Decode(item.Name, item.Value)
+		if err != nil {
+			m.Log.Error().Str("Name", item.Name).Uint64("Revision", b.Revision).Err(err).Msg("An order to move a service cannot be read.")
+			continue
+		}
+		moves[item.Name] = v
+		m.Log.Warn().Str("Service", v.Service).Str("Version", v.To).Uint64("Revision", b.Revision).Msg("Moves are not carried out: the new version gets no requests.")
+	}
+	m.Board.Moving.Write(&blackboard.Moving{
+		Revision: b.Revision,
+		ByName:   moves,
+	})
+}
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -65,6 +65,7 @@
 	Config     string
 	Server     string
 	Evacuation string
+	Move       string
 	VM         string
 }
 
@@ -73,6 +74,7 @@
 	Source       storer.Source
 	Kinds        Kinds
 	DecodeConfig func(name string, value []byte) (router.Config, error)
+	DecodeMove   func(name string, value []byte) (blackboard.VersionMove, error)
 	DecodeServer func(name string, value []byte) (registrar.Server, error)
 	Directory    Directory
 	Settings     SettingsFile
@@ -173,6 +175,11 @@
 
 func (g *Gateway) buildFollower() {
 	log := g.logger.Part("follower")
+	vms := follower.NewLog(g.parts.Kinds.VM, &follower.Fleet{
+		Board:   g.board,
+		Log:     log,
+		Changed: g.resize,
+	})
 	g.follow = follower.New(follower.Options{
 		Name: g.cfg.Name,
 		Zone: g.cfg.Zone,
@@ -187,12 +194,14 @@
 				Board: g.board,
 				Log:   log,
 			}),
-			follower.NewLog(g.parts.Kinds.VM, &follower.Fleet{
-				Board:   g.board,
-				Log:     log,
-				Changed: g.resize,
+			follower.NewLog(g.parts.Kinds.Move, &follower.Moves{
+				Board:  g.board,
+				Decode: g.parts.DecodeMove,
+				Log:    log,
 			}),
+			vms,
 		},
+		VMs:    vms,
 		Source: g.parts.Source,
 		Client: g.pool,
 		Board:  g.board,
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -22,6 +22,7 @@
 		g.follow.Run,
 		g.register,
 		g.clear,
+		g.probe,
 		g.accept.Run,
 	}
 	for _, run := range loops {
@@ -167,6 +168,52 @@
 // reportLines is the number of dropped lines of which the log tells in one line.
 const reportLines = 100
 
+const (
+	// probePeriod is the time between looks for servers to which a connection is to be tried.
+	probePeriod = 50 * time.Millisecond
+	// probeTimeout bounds such a try.
+	probeTimeout = 300 * time.Millisecond
+)
+
+// probe tries connections to servers that could not be reached, so that no request has to.
+func (g *Gateway) probe(ctx context.Context) {
+	tick := g.timer.Subscribe(probePeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			for _, m := range g.tracker.Due(now) {
+				p := &probing{
+					gateway: g,
+					member:  m,
+				}
+				go p.run(ctx)
+			}
+		}
+	}
+}
+
+// probing is one try of a connection.
+type probing struct {
+	gateway *Gateway
+	member  registrar.Member
+}
+
+func (p *probing) run(ctx context.Context) {
+	g := p.gateway
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	link, _, err := g.pooler.Get(ctx, p.member.Server, true, g.timer.Now())
+	now := g.timer.Now()
+	if err == nil {
+		g.pooler.Put(p.member.Server, link, 0, now)
+		g.log.Info().Str("Server", p.member.ID).Str("Service", p.member.Service).Msg("A backend server can be reached again.")
+	}
+	g.tracker.Probed(p.member, err == nil, now)
+}
+
 // waitPeriod is the time between looks at the running requests while the gateway stops.
 const waitPeriod = 20 * time.Millisecond
 
--- a/internal/storer/feed.go
+++ b/internal/storer/feed.go
@@ -25,6 +25,8 @@
 
 // Source reads kinds of objects. Calls need a context with a deadline.
 type Source interface {
+	// Ping returns nil if the platform answers. It is cheaper than other calls.
+	Ping(ctx context.Context) error
 	// ListKind returns all objects of the kind.
 	ListKind(ctx context.Context, kind string) (Batch, error)
 	// WatchKind waits up to wait for changes after the revision. It returns ErrHistoryGone when these are not known any more.
--- a/internal/tracker/flight.go
+++ b/internal/tracker/flight.go
@@ -28,9 +28,7 @@
 	}
 	s.flights = append(s.flights, f)
 	s.usedAt = now
-	if s.hold > 0 {
-		s.probing = true
-	}
+	s.member = m
 	s.cold.take(now)
 	return f
 }
@@ -51,7 +49,6 @@
 	if i := slices.Index(s.flights, f); i >= 0 {
 		s.flights = slices.Delete(s.flights, i, i+1)
 	}
-	s.probing = false
 	if r.Load != nil {
 		s.report = *r.Load
 		s.reportAt = now
@@ -60,7 +57,6 @@
 	switch r.Ending {
 	case Answered:
 		s.hold = 0
-		s.heldUntil = time.Time{}
 		s.fail(0, now)
 		t.measure(s, f, now)
 	case Failed:
@@ -70,12 +66,47 @@
 		s.fail(refusalWeight, now)
 	case Misdirected, Unreachable, Silent:
 		s.fail(1, now)
-		s.hold = min(max(holdMin, 2*s.hold), holdMax)
-		s.heldUntil = now.Add(s.hold)
+		s.extend(now)
 	case Abandoned:
 	}
 }
 
+// extend keeps requests from the server until a connection to it succeeds.
+func (s *state) extend(now time.Time) {
+	if now.Before(s.heldUntil) {
+		return
+	}
+	s.hold = min(max(holdMin, 2*s.hold), holdMax)
+	s.heldUntil = now.Add(s.hold)
+}
+
+// Due returns the servers without requests to which a connection is to be tried now. Probed has to follow for each.
+func (t *Tracker) Due(now time.Time) []registrar.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due []registrar.Member
+	for _, s := range t.servers {
+		if s.hold > 0 && !s.probing && !now.Before(s.heldUntil) {
+			s.probing = true
+			due = append(due, s.member)
+		}
+	}
+	return due
+}
+
+// Probed notes whether a connection to the server succeeded.
+func (t *Tracker) Probed(m registrar.Member, ok bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server(m.Key())
+	s.probing = false
+	if ok {
+		s.hold = 0
+		return
+	}
+	s.extend(now)
+}
+
 // refusalWeight is what a refusal counts for as a failure: the next request may find room.
 const refusalWeight = 0.5
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -102,9 +102,12 @@
 	reportOwn int
 	hold      time.Duration
 	heldUntil time.Time
-	probing   bool
-	cold      coldGate
-	usedAt    time.Time
+	// member is the server as it was last used.
+	member registrar.Member
+	// probing says that a connection is being tried.
+	probing bool
+	cold    coldGate
+	usedAt  time.Time
 }
 
 // routeState is what is known of a route over all servers.
@@ -222,7 +225,7 @@
 
 // open reports whether the server can get another request.
 func (t *Tracker) open(s *state, m registrar.Member, a Ask) bool {
-	if a.Now.Before(s.heldUntil) || s.hold > 0 && s.probing {
+	if s.hold > 0 {
 		return false
 	}
 	if len(s.flights) >= t.connections(a.Service) {
