Refuse searches at once whose shards are out of reach

Shards all of whose servers were found unreachable are now given up at once, and the search is refused when too few are left. A dial is given up after 250 ms instead of 400 ms.

TestSearchesBeyondReachAreRefusedAtOnce failed before.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -257,6 +257,19 @@
 	assert.Equal(t, f.sender.total(f.sender.sent), 0)
 }
 
+// Load pattern: a zone is cut off from the servers of most shards while searches go on. Guards against searches that wait until their
+// deadline for servers that were found to be out of reach, as 43 did in the incident inc-96d7 of oso-perdido.
+func TestSearchesBeyondReachAreRefusedAtOnce(t *testing.T) {
+	f := newFixture("search", []string{"0a=ok", "1a=down", "2a=down"})
+	f.run(context.Background())
+	sent := f.sender.total(f.sender.sent)
+	for range 20 {
+		out, _ := f.run(context.Background())
+		assert.Equal(t, describe(out), "not-run")
+	}
+	assert.Equal(t, f.sender.total(f.sender.sent), sent)
+}
+
 // Load pattern: all servers of a service refuse for want of room. Guards against retries that multiply the load beyond the attempts
 // of a route and the budget.
 func TestFullServersGetNoStormOfRetries(t *testing.T) {
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -167,7 +167,9 @@
 		return out
 	}
 	for i := range j.shards {
-		j.start(i, now)
+		if !j.shards[i].failed {
+			j.start(i, now)
+		}
 	}
 	tick := j.d.o.Timer.Subscribe(pollPeriod)
 	defer tick.Stop()
@@ -194,25 +196,39 @@
 	return out
 }
 
-// hopeless refuses a request at once when too many shards have no server that may get it.
+// hopeless gives up the shards without a server that can be reached, and refuses the request at once when too few are left.
 func (j *job) hopeless(now time.Time) Outcome {
-	served := 0
+	listed := 0
 	for i := range j.shards {
-		if len(j.shards[i].members) > 0 {
-			served++
+		s := &j.shards[i]
+		if len(s.members) > 0 {
+			listed++
+		}
+		if !j.d.o.Tracker.Reachable(s.members) {
+			s.failed = true
+			s.last = classifier.NoReplica
+			j.failed++
 		}
 	}
-	if served >= j.needed {
+	left := len(j.shards) - j.failed
+	if left >= j.needed {
 		return nil
 	}
-	j.d.o.Counts.Refused.Inc()
-	j.log(now, "no server").Int("Served", served).Msg("The request was refused because too few shards have a server.")
-	return Refused{
+	out := Refused{
 		Code:       classifier.NoReplica,
 		RetryAfter: absentRetry,
 	}
+	if listed >= j.needed {
+		out.RetryAfter = unreachableRetry
+	}
+	j.d.o.Counts.Refused.Inc()
+	j.log(now, "no server").Int("Listed", listed).Int("Reachable", left).Int("Needed", j.needed).Msg("The request was refused because too few shards have a server.")
+	return out
 }
 
+// unreachableRetry is when callers return after a refusal because servers cannot be reached: another VM may reach them.
+const unreachableRetry = 100 * time.Millisecond
+
 // absentRetry is when callers return after a refusal for want of servers: entries that lapsed are back within two seconds.
 const absentRetry = 2 * time.Second
 
--- a/internal/dispatcher/sender.go
+++ b/internal/dispatcher/sender.go
@@ -44,7 +44,7 @@
 
 // dialTimeout bounds the opening of a connection. Zones are tens of milliseconds apart, and a lost opening packet is sent again
 // only after a second.
-const dialTimeout = 400 * time.Millisecond
+const dialTimeout = 250 * time.Millisecond
 
 func (s *PooledSender) exchange(ctx context.Context, r *Request, m registrar.Member, link *connector.Link) (*fasthttp.Response, Reply, error) {
 	req := fasthttp.AcquireRequest()
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -214,6 +214,18 @@
 	return best, found
 }
 
+// Reachable reports whether one of the servers can be reached as far as is known.
+func (t *Tracker) Reachable(members []registrar.Member) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range members {
+		if t.server(m.Key()).hold == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func excluded(list []registrar.Key, k registrar.Key) bool {
 	for _, e := range list {
 		if e == k {
