--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -180,7 +180,8 @@
 func (a *Acceptor) answer(ctx *fasthttp.RequestCtx, id string, wait time.Duration, arrived time.Time) {
 	table := a.o.Board.Routes.Read()
 	if !table.Loaded {
-		a.refuse(ctx, id, "", dispatcher.Refused{
+		a.o.Log.Info().Str("Request", id).Str("Decision", "refused").Stringer("Code", classifier.NotReady).Msg("No configuration is known yet.")
+		a.refuse(ctx, dispatcher.Refused{
 			Code:       classifier.NotReady,
 			RetryAfter: startRetry,
 		})
@@ -189,8 +190,8 @@
 	h := &ctx.Request.Header
 	route := table.Match(string(h.Host()), string(h.RequestURI()))
 	if route == nil {
-		a.o.Log.Info().Str("Request", id).Uint64("Version", table.Version).Msg("No route matches the request.")
-		a.refuse(ctx, id, "", dispatcher.Refused{
+		a.o.Log.Info().Str("Request", id).Str("Decision", "refused").Stringer("Code", classifier.UnknownRoute).Uint64("Version", table.Version).Msg("No route matches the request.")
+		a.refuse(ctx, dispatcher.Refused{
 			Code: classifier.UnknownRoute,
 		})
 		return
@@ -207,7 +208,7 @@
 	defer a.leaving.watch(ctx.Conn(), left)()
 	out := a.o.Runner.Run(caller, r)
 	a.o.Counts.observe(route, out, a.o.Timer.Now().Sub(arrived))
-	a.write(ctx, id, route, out)
+	a.write(ctx, out)
 }
 
 // connectionHeaders concern one connection only and are not passed on. (RFC 9110, section 7.6.1)
@@ -232,7 +233,7 @@
 	}
 }
 
-func (a *Acceptor) write(ctx *fasthttp.RequestCtx, id string, route *router.Route, out dispatcher.Outcome) {
+func (a *Acceptor) write(ctx *fasthttp.RequestCtx, out dispatcher.Outcome) {
 	switch o := out.(type) {
 	case dispatcher.Whole:
 		o.Response.CopyTo(&ctx.Response)
@@ -244,20 +245,16 @@
 	case dispatcher.Merged:
 		a.o.Format.WriteMerged(&ctx.Response, o)
 	case dispatcher.Refused:
-		a.refuse(ctx, id, route.Name, o)
+		a.refuse(ctx, o)
 	}
 }
 
-func (a *Acceptor) refuse(ctx *fasthttp.RequestCtx, id, route string, r dispatcher.Refused) {
+func (a *Acceptor) refuse(ctx *fasthttp.RequestCtx, r dispatcher.Refused) {
 	status := r.Code.HTTPStatus()
 	if r.Code == classifier.Cancelled {
 		// The caller has left; nobody reads the answer.
 		ctx.SetConnectionClose()
 		status = fasthttp.StatusBadGateway
 	}
-	if status == fasthttp.StatusServiceUnavailable && !r.Code.NotRun() {
-		status = fasthttp.StatusBadGateway
-	}
-	a.o.Log.Info().Str("Request", id).Str("Route", route).Stringer("Code", r.Code).Int("Status", status).Dur("RetryAfter", r.RetryAfter).Msg("The request was refused.")
 	a.o.Format.WriteRefusal(&ctx.Response, status, r.Code.Text(), r.RetryAfter)
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -126,8 +126,9 @@
 	// returnMargin is the part of the latency target that is kept for the way between the caller and this VM and for the merge.
 	// The platform's pages state 3 ms one way, and a new connection takes two ways more.
 	returnMargin = 18 * time.Millisecond
-	// deadlineMargin is kept so that the final answer leaves before the caller's time is over.
-	deadlineMargin = 10 * time.Millisecond
+	// deadlineMargin is kept so that the final answer arrives before the caller's time is over: the ways to and from the caller, a
+	// new connection and the timers of a busy VM.
+	deadlineMargin = 20 * time.Millisecond
 )
 
 // Run sends the request and returns its outcome. The end of ctx says that the caller has left.
--- a/internal/dispatcher/outcome.go
+++ b/internal/dispatcher/outcome.go
@@ -31,6 +31,9 @@
 	s := &j.shards[0]
 	switch {
 	case s.done, s.failed && s.response != nil && s.ran > 0:
+		if !s.done {
+			j.log(now, "failure").Int("Status", s.reply.Status).Strs("Servers", j.triedServers()).Msg("The failure of a backend server was passed on.")
+		}
 		out := Whole{
 			Response: s.response,
 		}
@@ -76,7 +79,8 @@
 		out.RetryAfter = fullRetry
 	}
 	j.d.o.Counts.Refused.Inc()
-	j.log(now, "refused").Stringer("Code", out.Code).Stringer("Cause", code).Int("Done", j.done).Int("Failed", j.failed).Msg("The request ended without an answer.")
+	j.log(now, "refused").Stringer("Code", out.Code).Stringer("Cause", code).Int("Done", j.done).Int("Failed", j.failed).
+		Strs("Servers", j.triedServers()).Dur("RetryAfter", out.RetryAfter).Msg("The request ended without an answer.")
 	return out
 }
 
@@ -142,8 +146,24 @@
 	return names
 }
 
+// triedServers names servers that got the request and did not answer it.
+func (j *job) triedServers() []string {
+	var ids []string
+	for i := range j.shards {
+		if j.shards[i].done {
+			continue
+		}
+		for _, k := range j.shards[i].tried {
+			if len(ids) < maxNamed {
+				ids = append(ids, k.ID)
+			}
+		}
+	}
+	return ids
+}
+
 // log begins the line of a decision about the request.
 func (j *job) log(now time.Time, decision string) *zerolog.Event {
 	return j.d.o.Log.Info().Str("Request", j.request.ID).Str("Decision", decision).Str("Route", j.request.Route.Name).
-		Uint64("Version", j.request.Table.Version).Uint64("Servers", j.view.Revision).Dur("Age", now.Sub(j.request.Arrived))
+		Uint64("Version", j.request.Table.Version).Uint64("List", j.view.Revision).Dur("Age", now.Sub(j.request.Arrived))
 }
