Prefer servers of the own region unless others are clearly faster

A server of another region is now chosen only if it is expected to answer 15 ms sooner.

Trials without effect: hedges after the 91st percentile, at most 0.35 of the target, an answer margin of 17 ms.

--- a/Makefile
+++ b/Makefile
@@ -17,11 +17,11 @@
 	TEST_BIN_DIR=$(BIN) go test -count=1 -parallel 4 -timeout 20m $(SKIP) ./...
 
 lint: tools
-	test -z "$$($(BIN)/gofumpt -l cmd internal)" || { $(BIN)/gofumpt -d cmd internal; exit 1; }
+	test -z "$$($(BIN)/gofumpt -l cmd internal platform)" || { $(BIN)/gofumpt -d cmd internal platform; exit 1; }
 	$(BIN)/golangci-lint run ./...
 
 format: tools
-	$(BIN)/gofumpt -w cmd internal
+	$(BIN)/gofumpt -w cmd internal platform
 
 demo: build
 	$(BIN)/anvildyke-demo -bin $(BIN)
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -139,13 +140,12 @@
 
 func (a *Acceptor) unreadable(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
-	switch err.(type) {
-	case *fasthttp.ErrSmallBuffer:
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &small):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	default:
-		if err == fasthttp.ErrBodyTooLarge {
-			status = fasthttp.StatusRequestEntityTooLarge
-		}
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
 	}
 	a.o.Log.Info().Int("Status", status).Err(err).Msg("A request cannot be read.")
 	a.o.Format.WriteRefusal(&ctx.Response, status, "The request cannot be read.", 0)
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -39,8 +39,6 @@
 // result is the end of one attempt.
 type result struct {
 	shard    int
-	member   registrar.Member
-	flight   *tracker.Flight
 	response *fasthttp.Response
 	reply    Reply
 	err      error
@@ -72,7 +70,6 @@
 	hedgeAfter time.Duration
 	// answerAt is when an answer that has enough shards is sent.
 	answerAt time.Time
-	gone     bool
 }
 
 // plan lists the shards of the request.
@@ -183,7 +180,6 @@
 			now = j.d.o.Timer.Now()
 			j.advance(now)
 		case <-caller.Done():
-			j.gone = true
 			j.cancel()
 			out = Refused{
 				Code: classifier.Cancelled,
@@ -276,8 +272,6 @@
 	}, j.d.o.Timer.Now())
 	j.results <- result{
 		shard:    a.shard,
-		member:   a.member,
-		flight:   a.flight,
 		response: resp,
 		reply:    reply,
 		err:      err,
@@ -451,7 +445,7 @@
 // the connections.
 func (j *job) release() {
 	for i := range j.shards {
-		if j.shards[i].response != nil && !(j.fanout == nil) {
+		if j.shards[i].response != nil && j.fanout != nil {
 			releaseResponse(j.shards[i].response)
 			j.shards[i].response = nil
 		}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -237,11 +237,12 @@
 	return sinks
 }
 
-func waitFor(t *testing.T, sinks map[string]*things, name, value string) {
+// waitFor waits until the object a has a value at all VMs.
+func waitFor(t *testing.T, sinks map[string]*things, value string) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for vm, s := range sinks {
-			if got := s.get(name); got != value {
+			if got := s.get("a"); got != value {
 				return poll.Continue("%s has %q", vm, got)
 			}
 		}
@@ -255,13 +256,13 @@
 	p := newPlatform()
 	p.put(kindThing, "a", "1")
 	sinks := startFleet(t, p, 6)
-	waitFor(t, sinks, "a", "1")
+	waitFor(t, sinks, "1")
 	// The reader is the first by rank; silence for half of the VMs includes it or not, and others of them in any case.
 	for _, vm := range []string{"vm-0", "vm-2", "vm-4"} {
 		p.setSilent(vm)
 	}
 	p.put(kindThing, "a", "2")
-	waitFor(t, sinks, "a", "2")
+	waitFor(t, sinks, "2")
 }
 
 // Guards against calls of the platform that grow with the VMs of a zone.
@@ -269,10 +270,10 @@
 	p := newPlatform()
 	p.put(kindThing, "a", "1")
 	sinks := startFleet(t, p, 20)
-	waitFor(t, sinks, "a", "1")
+	waitFor(t, sinks, "1")
 	for i := range 20 {
 		p.put(kindThing, "a", fmt.Sprint("v", i))
-		waitFor(t, sinks, "a", fmt.Sprint("v", i))
+		waitFor(t, sinks, fmt.Sprint("v", i))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -294,7 +295,8 @@
 	}
 	slices.Sort(got)
 	assert.DeepEqual(t, got, []string{"b=2 false", "c= true", "d=1 false"})
-	u, _, _, _ = l.Since(2)
+	u, synced, _, _ = l.Since(2)
+	assert.Assert(t, synced)
 	assert.Assert(t, u.Whole)
 	assert.Equal(t, len(u.Items), 3)
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -188,15 +188,3 @@
 	}
 	return v
 }
-
-// Servers returns all entries, draining ones included, ordered by ID.
-func (r *Registrar) Servers() []*Server {
-	list := make([]*Server, 0, len(r.servers))
-	for _, s := range r.servers {
-		list = append(list, s)
-	}
-	slices.SortFunc(list, func(a, b *Server) int {
-		return cmp.Compare(a.ID, b.ID)
-	})
-	return list
-}
--- a/internal/tracker/flight.go
+++ b/internal/tracker/flight.go
@@ -27,7 +27,6 @@
 		sent:    now,
 	}
 	s.flights = append(s.flights, f)
-	s.usedAt = now
 	s.member = m
 	s.cold.take(now)
 	return f
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -32,6 +32,8 @@
 	failurePenalty = 400 * time.Millisecond
 	// lapsedPenalty keeps servers without an entry behind the others of their shard.
 	lapsedPenalty = 30 * time.Millisecond
+	// regionPenalty keeps requests in the region as long as its servers are about as fast, because bytes between regions are paid for.
+	regionPenalty = 15 * time.Millisecond
 	// coldFactor is how much slower a cold server is assumed to be.
 	coldFactor = 1.5
 	// occupancyFactor is the share of its latency that a server with all slots busy loses to contention.
@@ -107,7 +109,6 @@
 	// probing says that a connection is being tried.
 	probing bool
 	cold    coldGate
-	usedAt  time.Time
 }
 
 // routeState is what is known of a route over all servers.
@@ -150,13 +151,6 @@
 	t.vms = max(n, 1)
 }
 
-// VMs returns the number of VMs that share the limits of a server.
-func (t *Tracker) VMs() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.vms
-}
-
 func (t *Tracker) server(k registrar.Key) *state {
 	s, ok := t.servers[k]
 	if !ok {
@@ -263,13 +257,6 @@
 // defaultConnections bounds the connections to a server whose limit is not stated.
 const defaultConnections = 8
 
-// Connections returns how many connections to a server of the service this VM may have.
-func (t *Tracker) Connections(s router.Service) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.connections(s)
-}
-
 // expect returns the expected latency of a request, with penalties for what speaks against the server.
 func (t *Tracker) expect(s *state, m registrar.Member, a Ask) time.Duration {
 	r := t.route(a.Route.Name)
@@ -296,6 +283,9 @@
 	if m.Lapsed {
 		d += lapsedPenalty
 	}
+	if m.Region != t.cfg.Region {
+		d += regionPenalty
+	}
 	return d
 }
 
@@ -333,13 +323,6 @@
 	return t.route(route).tail
 }
 
-// Usual returns the mean latency of a route over all servers, 0 while it is unknown.
-func (t *Tracker) Usual(route string) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.route(route).all.value
-}
-
 // Retain drops the servers and routes that keep denies and that have no running request.
 func (t *Tracker) Retain(server func(registrar.Key) bool, route func(string) bool) {
 	t.mu.Lock()
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -177,3 +177,31 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, m.Zone, "south")
 }
+
+// Load pattern: steady load on two equally fast replicas, one in another region, then the near one turns slow. Guards against bytes
+// between regions that buy nothing, and against requests that stay with a slow server because it is near.
+func TestOtherRegionsAreUsedOnlyIfTheyAreFaster(t *testing.T) {
+	tr := newTracker(7)
+	members := []registrar.Member{member(0, "north"), member(1, "south")}
+	now := start
+	far := func(n int, near time.Duration) int {
+		count := 0
+		for range n {
+			m, ok := tr.Choose(ask(now, members...))
+			assert.Assert(t, ok)
+			f := tr.Begin(m, search.Name, now)
+			took := near
+			if m.Zone == "south" {
+				count++
+				took = 20 * time.Millisecond
+			}
+			now = now.Add(took)
+			f.End(tracker.Report{
+				Ending: tracker.Answered,
+			}, now)
+		}
+		return count
+	}
+	assert.Assert(t, far(50, 20*time.Millisecond) <= 5)
+	assert.Assert(t, far(50, 150*time.Millisecond) >= 25)
+}
