Assume good latencies of zones that were not measured

Cause: TestOtherRegionsAreUsedOnlyIfTheyAreFaster failed: the latency assumed of an unmeasured zone was the mean over all servers, which rose with a slow near server and kept the requests there. It is now the lower quartile. Fields that nothing reads are gone.

--- a/internal/configurer/gateway.go
+++ b/internal/configurer/gateway.go
@@ -23,8 +23,6 @@
 	Peers netip.AddrPort
 	// Seeds are the peer addresses of some VMs, which may be down.
 	Seeds []netip.AddrPort
-	// RenewPeriod is the period in which backend servers renew their entries.
-	RenewPeriod time.Duration
 	// DrainTimeout is how long a backend server goes on serving after its entry says that it leaves.
 	DrainTimeout time.Duration
 	// StopTimeout is the time between SIGTERM and SIGKILL.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -79,10 +79,8 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// BodyBytes is the greatest size of a body, 0 when no bound is stated.
+	BodyBytes int
 }
 
 // Config is one version of the configuration.
--- a/internal/tracker/flight.go
+++ b/internal/tracker/flight.go
@@ -131,23 +131,24 @@
 		r.zones[f.member.Zone] = z
 	}
 	z.add(d, now)
-	r.all.add(d, now)
-	r.learnTail(d)
+	r.tail = learn(r.tail, d, tailQuantile, tailStart)
+	r.good = learn(r.good, d, goodQuantile, 1)
 }
 
-// learnTail moves the estimate of the quantile by a step that balances at the quantile: up for the few latencies above it,
-// down by the smaller part for those below.
-func (r *routeState) learnTail(d time.Duration) {
-	if r.tail == 0 {
-		r.tail = 2 * d
-		return
+// tailStart is the first estimate of the tail as a multiple of the first latency.
+const tailStart = 2
+
+// learn moves the estimate of a quantile by a step that balances at the quantile: up for latencies above it, down for those below. The
+// first estimate is a multiple of the latency.
+func learn(estimate, d time.Duration, quantile float64, first time.Duration) time.Duration {
+	if estimate == 0 {
+		return first * d
 	}
-	step := tailStep * float64(r.tail)
-	if d > r.tail {
-		r.tail += time.Duration(step * tailQuantile)
-		return
+	step := quantileStep * float64(estimate)
+	if d > estimate {
+		return estimate + time.Duration(step*quantile)
 	}
-	r.tail -= time.Duration(step * (1 - tailQuantile))
+	return estimate - time.Duration(step*(1-quantile))
 }
 
 // coldGate spreads the requests to a cold server evenly over time.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -43,8 +43,10 @@
 	holdMax = 2 * time.Second
 	// tailQuantile is the quantile of the latencies after which a duplicate is worth its cost.
 	tailQuantile = 0.95
-	// tailStep is the relative step of the estimate of the quantile.
-	tailStep = 0.05
+	// goodQuantile is the quantile that is assumed of zones that have not been measured. Slow servers elsewhere do not move it much.
+	goodQuantile = 0.25
+	// quantileStep is the relative step of the estimates of quantiles.
+	quantileStep = 0.05
 )
 
 // Load is a server's report of its own load.
@@ -114,8 +116,9 @@
 // routeState is what is known of a route over all servers.
 type routeState struct {
 	zones map[string]*average
-	all   average
-	tail  time.Duration
+	// good and tail estimate quantiles of the latency over all servers, 0 while nothing is known.
+	good time.Duration
+	tail time.Duration
 }
 
 // Config describes the place of this VM.
@@ -294,8 +297,8 @@
 	if z, ok := r.zones[m.Zone]; ok {
 		return z.value
 	}
-	d := r.all.value
-	if r.all.at.IsZero() {
+	d := r.good
+	if d == 0 {
 		d = firstLatency
 		if a.Route.Target > 0 {
 			d = min(d, a.Route.Target/4)
