--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -129,7 +129,7 @@
 const (
 	// hedgeLeast keeps duplicates from being sent for ordinary jitter.
 	hedgeLeast = 8 * time.Millisecond
-	// hedgeTarget is the part of the latency target that is left for the duplicate at the latest.
+	// hedgeTarget is the part of the latency target after which a duplicate is sent at the latest, so that it can still arrive in time.
 	hedgeTarget = 0.45
 	// pollPeriod is the time between looks for due duplicates and free connections.
 	pollPeriod = 5 * time.Millisecond
