Share what the gateway wrote again

A shard that failed cannot have an attempt running, so the code for that is gone, as are fields that nothing read.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -18,6 +18,7 @@
 	"github.com/anvildyke/anvildyke/internal/classifier"
 	"github.com/anvildyke/anvildyke/internal/connector"
 	"github.com/anvildyke/anvildyke/internal/dispatcher"
+	"github.com/anvildyke/anvildyke/internal/logger"
 	"github.com/anvildyke/anvildyke/internal/router"
 	"github.com/anvildyke/anvildyke/internal/timer"
 )
@@ -94,17 +95,11 @@
 		NoDefaultServerHeader:        true,
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
-		Logger:                       discard{},
+		Logger:                       logger.Silent{},
 	}
 	return a
 }
 
-// discard drops the messages of the HTTP server, which may quote parts of requests.
-type discard struct{}
-
-// Printf does nothing.
-func (discard) Printf(string, ...any) {}
-
 // Serve accepts callers until the listener is closed.
 func (a *Acceptor) Serve(l net.Listener) error {
 	return a.server.Serve(l)
--- a/internal/acceptor/leaving.go
+++ b/internal/acceptor/leaving.go
@@ -46,19 +46,10 @@
 
 // Run looks at the connections until ctx ends.
 func (l *leaving) Run(ctx context.Context) {
-	tick := l.timer.Subscribe(leavePeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			l.check()
-		}
-	}
+	l.timer.Every(ctx, leavePeriod, l.check)
 }
 
-func (l *leaving) check() {
+func (l *leaving) check(time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c, left := range l.callers {
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -230,17 +230,27 @@
 
 // start sends the request to a server of the shard, and reports whether it did.
 func (j *job) start(i int, now time.Time) bool {
+	m, ok := j.choose(i, now)
+	if ok {
+		j.send(i, m, now)
+	}
+	return ok
+}
+
+// choose returns the server that gets the next attempt of the shard, and false if none can take it now.
+func (j *job) choose(i int, now time.Time) (registrar.Member, bool) {
 	s := &j.shards[i]
-	m, ok := j.d.o.Tracker.Choose(tracker.Ask{
+	return j.d.o.Tracker.Choose(tracker.Ask{
 		Route:    j.request.Route,
 		Service:  s.service,
 		Members:  s.members,
 		Excluded: s.tried,
 		Now:      now,
 	})
-	if !ok {
-		return false
-	}
+}
+
+func (j *job) send(i int, m registrar.Member, now time.Time) {
+	s := &j.shards[i]
 	s.tried = append(s.tried, m.Key())
 	s.running++
 	s.sentAt = now
@@ -252,7 +262,6 @@
 		flight: j.d.o.Tracker.Begin(m, j.request.Route.Name, now),
 	}
 	go a.run()
-	return true
 }
 
 // attempt is one send to one server.
@@ -321,10 +330,6 @@
 		s.response = r.response
 		s.reply = r.reply
 		s.done = true
-		if s.failed {
-			s.failed = false
-			j.failed--
-		}
 		j.done++
 		return
 	}
@@ -361,9 +366,6 @@
 // retry sends the request to another server after a failure, or gives the shard up.
 func (j *job) retry(i int, notRun bool, now time.Time) {
 	s := &j.shards[i]
-	if s.failed {
-		return
-	}
 	if s.running > 0 {
 		return
 	}
@@ -414,7 +416,11 @@
 // hedge duplicates the attempt of a shard and reports whether it did.
 func (j *job) hedge(i int, now time.Time) bool {
 	s := &j.shards[i]
-	if s.ran+s.running >= j.request.Route.Attempts || len(s.tried) >= maxSends || !j.hasAlternative(s, now) {
+	if s.ran+s.running >= j.request.Route.Attempts || len(s.tried) >= maxSends {
+		return false
+	}
+	m, ok := j.choose(i, now)
+	if !ok {
 		return false
 	}
 	if !j.d.o.Spender.Spend(s.service.Name, spender.Hedge, now) {
@@ -422,25 +428,11 @@
 		s.sentAt = now
 		return false
 	}
-	if !j.start(i, now) {
-		return false
-	}
+	j.send(i, m, now)
 	j.d.o.Counts.Hedges.Inc()
 	return true
 }
 
-// hasAlternative reports whether another server can take the request now.
-func (j *job) hasAlternative(s *shard, now time.Time) bool {
-	_, ok := j.d.o.Tracker.Choose(tracker.Ask{
-		Route:    j.request.Route,
-		Service:  s.service,
-		Members:  s.members,
-		Excluded: s.tried,
-		Now:      now,
-	})
-	return ok
-}
-
 // release leaves the attempts that still run to finish on their own: breaking them off would waste the work of the servers and
 // the connections.
 func (j *job) release() {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -159,7 +159,7 @@
 func (d *Drainer) run(ctx context.Context) {
 	defer close(d.stopped)
 	d.enter(blackboard.PhaseDraining)
-	d.wait(ctx, d.o.BalancerDelay)
+	d.o.Timer.Wait(ctx, d.o.BalancerDelay)
 	if d.o.StopListener != nil {
 		d.o.StopListener()
 	}
@@ -170,7 +170,7 @@
 			d.err = d.o.WaitRequests(ctx)
 		})
 	}
-	d.wait(ctx, LastGrace)
+	d.o.Timer.Wait(ctx, LastGrace)
 	bounded(ctx, StepTimeout, d.o.CloseConnections)
 	d.enter(blackboard.PhaseStopped)
 }
@@ -183,12 +183,3 @@
 	defer cancel()
 	f(ctx)
 }
-
-func (d *Drainer) wait(ctx context.Context, limit time.Duration) {
-	end := d.o.Timer.After(limit)
-	defer end.Stop()
-	select {
-	case <-end.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/follower/direct.go
+++ b/internal/follower/direct.go
@@ -83,7 +83,7 @@
 		}
 		revision = b.Revision
 		if len(b.Items) > 0 {
-			d.wait(ctx, gatherTime)
+			d.timer.Wait(ctx, gatherTime)
 		}
 	}
 }
@@ -110,15 +110,6 @@
 		d.log.SetAway(true)
 	}
 	d.pause = min(max(retryMin, 2*d.pause), retryMax)
-	d.wait(ctx, d.pause/2+rand.N(d.pause/2))
+	d.timer.Wait(ctx, d.pause/2+rand.N(d.pause/2))
 	return false
 }
-
-func (d *direct) wait(ctx context.Context, limit time.Duration) {
-	end := d.timer.After(limit)
-	defer end.Stop()
-	select {
-	case <-end.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -62,6 +62,8 @@
 // Follower follows the kinds, and lets other VMs follow this one. Its methods are safe for concurrent use.
 type Follower struct {
 	o Options
+	// changes is written at every change of a log.
+	changes blackboard.Section[struct{}]
 
 	mu sync.Mutex
 	// suspects are VMs that are passed over until a time.
@@ -73,10 +75,14 @@
 
 // New returns a Follower that does not run yet.
 func New(o Options) *Follower {
-	return &Follower{
+	f := &Follower{
 		o:        o,
 		suspects: map[string]time.Time{},
 	}
+	for _, l := range o.Kinds {
+		l.changes = &f.changes
+	}
+	return f
 }
 
 // Run follows until ctx ends.
@@ -161,7 +167,7 @@
 			asked = now
 			f.askAround(ctx)
 		}
-		f.wait(ctx, awayPause)
+		f.o.Timer.Wait(ctx, awayPause)
 	}
 }
 
@@ -213,15 +219,6 @@
 	return err == nil
 }
 
-func (f *Follower) wait(ctx context.Context, d time.Duration) {
-	end := f.o.Timer.After(d)
-	defer end.Stop()
-	select {
-	case <-end.C:
-	case <-ctx.Done():
-	}
-}
-
 // maxAsked bounds the VMs that are asked at a time while the platform does not answer.
 const maxAsked = 3
 
@@ -280,7 +277,7 @@
 			f.take(reply)
 			f.setAway(true)
 			// A VM that is about to read the platform itself has a moment to begin.
-			f.wait(ctx, awayPause)
+			f.o.Timer.Wait(ctx, awayPause)
 			if away++; away > 1 && f.ping(ctx) {
 				f.o.Log.Info().Str("Source", vm.Name).Bool("Synced", reply.Synced).Msg("The source of objects does not reach the platform, which this VM does.")
 				f.suspect(vm.Name)
@@ -354,44 +351,26 @@
 	end := f.o.Timer.After(min(req.Wait, followWait))
 	defer end.Stop()
 	for {
-		var wake []<-chan struct{}
+		wake := f.changes.Changed()
 		changes := false
 		reply.Updates = nil
 		reply.Synced = true
 		for _, l := range f.o.Kinds {
-			u, synced, away, changed := l.Since(req.After[l.kind])
+			u, synced, away := l.Since(req.After[l.kind])
 			reply.Synced = reply.Synced && synced
 			reply.Away = reply.Away || away
 			if u != nil {
 				reply.Updates = append(reply.Updates, *u)
 				changes = changes || u.Whole || len(u.Items) > 0
 			}
-			wake = append(wake, changed)
 		}
 		if changes || reply.Away || req.Wait <= 0 {
 			return nil
 		}
-		if !waitAny(wake, end.C) {
+		select {
+		case <-wake:
+		case <-end.C:
 			return nil
 		}
 	}
 }
-
-// waitAny waits for one of up to maxKinds channels, and returns false at the end of the wait.
-func waitAny(c []<-chan struct{}, end <-chan time.Time) bool {
-	var all [maxKinds]<-chan struct{}
-	copy(all[:], c)
-	select {
-	case <-all[0]:
-	case <-all[1]:
-	case <-all[2]:
-	case <-all[3]:
-	case <-all[4]:
-	case <-end:
-		return false
-	}
-	return true
-}
-
-// maxKinds is the number of kinds that a Follower may have.
-const maxKinds = 5
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -286,7 +286,7 @@
 	l := follower.NewLog(kindThing, &things{})
 	l.Replace(list(5, "a=1", "b=1", "c=1"))
 	l.Replace(list(9, "a=1", "b=2", "d=1"))
-	u, synced, _, _ := l.Since(5)
+	u, synced, _ := l.Since(5)
 	assert.Assert(t, synced)
 	assert.Assert(t, !u.Whole)
 	var got []string
@@ -295,7 +295,7 @@
 	}
 	slices.Sort(got)
 	assert.DeepEqual(t, got, []string{"b=2 false", "c= true", "d=1 false"})
-	u, synced, _, _ = l.Since(2)
+	u, synced, _ = l.Since(2)
 	assert.Assert(t, synced)
 	assert.Assert(t, u.Whole)
 	assert.Equal(t, len(u.Items), 3)
--- a/internal/follower/log.go
+++ b/internal/follower/log.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 
+	"github.com/anvildyke/anvildyke/internal/blackboard"
 	"github.com/anvildyke/anvildyke/internal/peerer"
 	"github.com/anvildyke/anvildyke/internal/storer"
 )
@@ -37,8 +38,8 @@
 	// history holds the last changes, the oldest first; base is the revision before them.
 	history []storer.Batch
 	base    uint64
-	// changed is closed and replaced at every change.
-	changed chan struct{}
+	// changes is written at every change; the logs of a Follower share it.
+	changes *blackboard.Section[struct{}]
 }
 
 // NewLog returns an empty log of a kind.
@@ -47,7 +48,7 @@
 		kind:    kind,
 		sink:    sink,
 		objects: map[string][]byte{},
-		changed: make(chan struct{}),
+		changes: &blackboard.Section[struct{}]{},
 	}
 }
 
@@ -139,8 +140,7 @@
 }
 
 func (l *Log) signal() {
-	close(l.changed)
-	l.changed = make(chan struct{})
+	l.changes.Write(&struct{}{})
 }
 
 // Away reports whether the platform does not answer.
@@ -164,13 +164,12 @@
 	l.signal()
 }
 
-// Since returns what a VM at a revision lacks, nil if that is nothing, and a channel that is closed at the next change. An update
-// without items says that nothing changed up to its revision.
-func (l *Log) Since(after uint64) (u *peerer.FollowUpdate, synced, away bool, changed <-chan struct{}) {
+// Since returns what a VM at a revision lacks, nil if that is nothing. An update without items says that nothing changed up to its revision.
+func (l *Log) Since(after uint64) (u *peerer.FollowUpdate, synced, away bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.synced || l.revision <= after {
-		return nil, l.synced, l.away, l.changed
+		return nil, l.synced, l.away
 	}
 	u = &peerer.FollowUpdate{
 		Kind:     l.kind,
@@ -185,12 +184,12 @@
 				Value: l.objects[name],
 			})
 		}
-		return u, true, l.away, l.changed
+		return u, true, l.away
 	}
 	for _, b := range l.history {
 		if b.Revision > after {
 			u.Items = append(u.Items, b.Items...)
 		}
 	}
-	return u, true, l.away, l.changed
+	return u, true, l.away
 }
--- a/internal/follower/sinks.go
+++ b/internal/follower/sinks.go
@@ -177,11 +177,7 @@
 
 // Apply takes changes.
 func (z *Zones) Apply(b storer.Batch) {
-	zones := map[string]struct{}{}
-	for name := range z.Board.Zones.Read().Zones {
-		zones[name] = struct{}{}
-	}
-	z.write(b, zones)
+	z.write(b, copied(z.Board.Zones.Read().Zones))
 }
 
 func (z *Zones) write(b storer.Batch, zones map[string]struct{}) {
@@ -277,13 +273,17 @@
 
 // Apply takes changes.
 func (m *Moves) Apply(b storer.Batch) {
-	m.write(b, maps.Clone(m.Board.Moving.Read().ByName))
+	m.write(b, copied(m.Board.Moving.Read().ByName))
+}
+
+// copied returns a copy of a map that a section holds, never nil.
+func copied[V any](m map[string]V) map[string]V {
+	c := make(map[string]V, len(m))
+	maps.Copy(c, m)
+	return c
 }
 
 func (m *Moves) write(b storer.Batch, moves map[string]blackboard.VersionMove) {
-	if moves == nil {
-		moves = map[string]blackboard.VersionMove{}
-	}
 	for _, item := range b.Items {
 		if item.Deleted {
 			delete(moves, item.Name)
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -31,6 +31,12 @@
 	}
 }
 
+// Silent is the logger of an HTTP server whose messages are dropped, because they may quote parts of requests.
+type Silent struct{}
+
+// Printf does nothing.
+func (Silent) Printf(string, ...any) {}
+
 // Part returns the logger of a part, whose name stands in the field Part of every line.
 func (l Logger) Part(name string) zerolog.Logger {
 	return l.base.With().Str("Part", name).Logger()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -84,8 +84,6 @@
 	servers  map[string]*Server
 	// lapsed holds servers whose entries are gone and whose grace period runs; none of them is in servers.
 	lapsed map[string]lapse
-	// returned is when the platform was last found to answer after an outage.
-	returned time.Time
 }
 
 // New returns a Registrar without entries.
@@ -99,7 +97,6 @@
 
 // Returned notes that the platform answers again. Entries that lapsed in the outage have the grace period from now on.
 func (r *Registrar) Returned(now time.Time) {
-	r.returned = now
 	for id, l := range r.lapsed {
 		l.until = now.Add(r.cfg.Grace)
 		r.lapsed[id] = l
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -13,6 +13,7 @@
 	"github.com/anvildyke/anvildyke/internal/blackboard"
 	"github.com/anvildyke/anvildyke/internal/claimer"
 	"github.com/anvildyke/anvildyke/internal/classifier"
+	"github.com/anvildyke/anvildyke/internal/logger"
 	"github.com/anvildyke/anvildyke/internal/peerer"
 	"github.com/anvildyke/anvildyke/internal/planner"
 	"github.com/anvildyke/anvildyke/internal/recorder"
@@ -111,17 +112,11 @@
 		CloseOnShutdown:              true,
 		NoDefaultServerHeader:        true,
 		DisablePreParseMultipartForm: true,
-		Logger:                       discard{},
+		Logger:                       logger.Silent{},
 	}
 	return r
 }
 
-// discard drops the messages of the HTTP server, which may quote parts of requests.
-type discard struct{}
-
-// Printf does nothing.
-func (discard) Printf(string, ...any) {}
-
 // Serve accepts callers until Shutdown is called, and then returns nil.
 func (r *Responder) Serve(l net.Listener) error {
 	return r.server.Serve(l)
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -102,6 +102,8 @@
 	servers  *follower.Servers
 	accept   *acceptor.Acceptor
 	drainer  *drainer.Drainer
+	// recorder stamps the messages between VMs.
+	recorder *recorder.Recorder
 	follow   *follower.Follower
 	peers    *peerer.Server
 	pool     *peerer.Pool
@@ -140,10 +142,10 @@
 	g.servers = follower.NewServers(g.board, parts.DecodeServer, g.timer, l.Part("registrar"), registrar.Config{
 		Grace: max(0, min(lapseGrace, cfg.DrainTimeout-lapseMargin)),
 	})
-	rec := recorder.New(cfg.Name, g.timer)
-	g.pool = peerer.NewPool(rec, l)
+	g.recorder = recorder.New(cfg.Name, g.timer)
+	g.pool = peerer.NewPool(g.recorder, l)
 	g.pool.Source = cfg.Peers.Addr()
-	g.peers = peerer.NewServer(rec, l)
+	g.peers = peerer.NewServer(g.recorder, l)
 	g.buildFollower()
 	if err := g.peers.Register("Feed", &follower.Server{
 		Follower: g.follow,
@@ -268,7 +270,7 @@
 		DrainTimeout:     max(0, g.cfg.StopTimeout-balancerDelay-stopReserve),
 		Board:            g.core,
 		Timer:            g.timer,
-		Recorder:         recorder.New(g.cfg.Name, g.timer),
+		Recorder:         g.recorder,
 		Logger:           g.logger,
 		StopListener: func() {
 			if err := callers.Close(); err != nil {
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -101,12 +101,7 @@
 			return
 		}
 		g.log.Warn().Err(err).Msg("This VM cannot be added to the list of VMs.")
-		end := g.timer.After(registerRetry)
-		select {
-		case <-end.C:
-		case <-ctx.Done():
-		}
-		end.Stop()
+		g.timer.Wait(ctx, registerRetry)
 	}
 }
 
@@ -120,16 +115,7 @@
 
 // clear drops what is known of servers and routes that are gone.
 func (g *Gateway) clear(ctx context.Context) {
-	tick := g.timer.Subscribe(housekeeping)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			g.tidy(now)
-		}
-	}
+	g.timer.Every(ctx, housekeeping, g.tidy)
 }
 
 func (g *Gateway) tidy(now time.Time) {
@@ -177,22 +163,15 @@
 
 // probe tries connections to servers that could not be reached, so that no request has to.
 func (g *Gateway) probe(ctx context.Context) {
-	tick := g.timer.Subscribe(probePeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			for _, m := range g.tracker.Due(now) {
-				p := &probing{
-					gateway: g,
-					member:  m,
-				}
-				go p.run(ctx)
+	g.timer.Every(ctx, probePeriod, func(now time.Time) {
+		for _, m := range g.tracker.Due(now) {
+			p := &probing{
+				gateway: g,
+				member:  m,
 			}
+			go p.run(ctx)
 		}
-	}
+	})
 }
 
 // probing is one try of a connection.
--- a/internal/storer/http.go
+++ b/internal/storer/http.go
@@ -184,13 +184,6 @@
 	}
 }
 
-// answer is the outcome of one exchange. The body is owned by the receiver.
-type answer struct {
-	status int
-	body   []byte
-	err    error
-}
-
 // call makes one call and decodes the answer into out.
 func (h *HTTP) call(ctx context.Context, c call, out any) error {
 	if err := ctx.Err(); err != nil {
@@ -200,44 +193,16 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	// The client knows no contexts, so an exchange whose context ends goes on alone until the deadline.
-	done := make(chan answer, 1)
-	go func() {
-		done <- h.exchange(c, deadline)
-	}()
-	select {
-	case a := <-done:
-		return a.decode(c, out)
-	case <-ctx.Done():
-		return fmt.Errorf("the call of the platform ended without an answer: %w", ctx.Err())
-	}
-}
-
-func (h *HTTP) exchange(c call, deadline time.Time) answer {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	c.fill(req, h.addr.String())
-	if err := h.client.DoDeadline(req, resp, deadline); err != nil {
-		return answer{
-			err: err,
-		}
-	}
-	return answer{
-		status: resp.StatusCode(),
-		body:   append([]byte(nil), resp.Body()...),
-	}
-}
-
-func (a answer) decode(c call, out any) error {
-	if a.err != nil {
-		return fmt.Errorf("%w: %w", ErrUnavailable, a.err)
+	a, err := Exchange(ctx, h.client, deadline, func(req *fasthttp.Request) {
+		c.fill(req, h.addr.String())
+	})
+	if err != nil {
+		return err
 	}
-	if a.status != fasthttp.StatusOK {
-		return fmt.Errorf("%s %s/%s: %w", c.method, c.kind, c.name, statusError(a.status))
+	if a.Status != fasthttp.StatusOK {
+		return fmt.Errorf("%s %s/%s: %w", c.method, c.kind, c.name, statusError(a.Status))
 	}
-	if err := json.Unmarshal(a.body, out); err != nil {
+	if err := json.Unmarshal(a.Body, out); err != nil {
 		return fmt.Errorf("the answer of the platform cannot be decoded: %w", err)
 	}
 	return nil
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -3,6 +3,7 @@
 package timer
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -75,6 +76,30 @@
 	}
 }
 
+// Wait returns once d has passed or ctx ends.
+func (s *Service) Wait(ctx context.Context, d time.Duration) {
+	end := s.After(d)
+	defer end.Stop()
+	select {
+	case <-end.C:
+	case <-ctx.Done():
+	}
+}
+
+// Every calls f at each tick of a period until ctx ends.
+func (s *Service) Every(ctx context.Context, period time.Duration, f func(now time.Time)) {
+	tick := s.Subscribe(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			f(now)
+		}
+	}
+}
+
 // Advance moves a virtual clock by d and delivers the ticks that fall due. It does nothing on the system clock.
 func (s *Service) Advance(d time.Duration) {
 	if c, ok := s.clock.(*virtualClock); ok {
