Obey servers that announce that they leave or ask for a pause

The balancer keeps departures by server process, apart from the state that Retain removes with an entry, and pauses; Wait tells the dispatcher when a shard cannot be served, which is then left out or refused at once with the time until it can. VMs of a zone learn of departures with the health of servers.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -37,6 +37,10 @@
 	Outcome AttemptOutcome
 	// Load is nil if the server does not report its load.
 	Load *Load
+	// Leaving is true if the server announced that it is leaving.
+	Leaving bool
+	// RetryAfter is the time for which the server asked for no requests from this VM, or 0.
+	RetryAfter time.Duration
 }
 
 // End records the result of the request, which then no longer counts as running.
@@ -54,6 +58,12 @@
 		s.loadReportAt = now
 		s.ownRunningAtReport = len(s.attempts)
 	}
+	if r.Leaving {
+		b.recordDeparture(s.hash, true, now)
+	}
+	if r.RetryAfter > 0 {
+		s.recordPause(r.RetryAfter, now)
+	}
 	switch r.Outcome {
 	case Answered:
 		b.lastAnswers[a.endpoint.Zone] = now
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -125,6 +125,8 @@
 	// probing is true while a probe connection is in progress.
 	probing bool
 	cold    coldLimiter
+	// pausedUntil is the end of the time for which the server has asked for no requests from this VM.
+	pausedUntil time.Time
 	// slowness is the smoothed latency relative to the baseline of the zone, or 0 if unknown.
 	slowness   float64
 	slownessAt time.Time
@@ -135,9 +137,8 @@
 	reportedAt          time.Time
 	// hash is the hash of the server's key.
 	hash uint64
-	// lastDegraded and lastEjected are the values in the last HealthChange.
-	lastDegraded bool
-	lastEjected  bool
+	// lastChange contains the values that the last HealthChange reported.
+	lastChange healthFlags
 }
 
 // routeState is the state of a route over all servers.
@@ -155,6 +156,9 @@
 	Name   string
 	Zone   string
 	Region string
+	// DepartureGrace is how long a server that is leaving may get requests if no other server is available. It is shorter than the
+	// time for which such a server continues to serve.
+	DepartureGrace time.Duration
 }
 
 // Balancer tracks servers and selects among them. Its methods are safe for concurrent use.
@@ -166,6 +170,8 @@
 	routes  map[string]*routeState
 	// zoneHealth contains the combined observations of the zone's VMs, by the hash of the server key.
 	zoneHealth map[uint64]*zoneState
+	// departures contains the servers that are leaving, by the hash of the server key.
+	departures map[uint64]*departure
 	// lastAnswers is the time at which a server of each zone last answered this VM, which includes overload rejections and
 	// successful probe connections.
 	lastAnswers map[string]time.Time
@@ -183,6 +189,7 @@
 		servers:     map[discoverer.Key]*serverState{},
 		routes:      map[string]*routeState{},
 		zoneHealth:  map[uint64]*zoneState{},
+		departures:  map[uint64]*departure{},
 		lastAnswers: map[string]time.Time{},
 		vms:         1,
 		ejections:   make(chan struct{}, 1),
@@ -254,12 +261,14 @@
 	return r
 }
 
-// Retain removes routes and idle servers for which the given functions return false. Servers with running requests are kept.
-func (b *Balancer) Retain(server func(discoverer.Key) bool, route func(string) bool) {
+// Retain removes routes and idle servers for which the given functions return false. Servers with running requests are kept, and
+// servers that have asked for no requests until that time is over, because their entries may return.
+func (b *Balancer) Retain(server func(discoverer.Key) bool, route func(string) bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.expireDepartures(now)
 	for k, s := range b.servers {
-		if len(s.attempts) == 0 && !server(k) {
+		if len(s.attempts) == 0 && !s.pausedUntil.After(now) && !server(k) {
 			b.setEjection(s, 0)
 			delete(b.servers, k)
 		}
--- a/internal/balancer/describe.go
+++ b/internal/balancer/describe.go
@@ -13,6 +13,10 @@
 	// Held is true if the server is ejected: it gets no requests until a connection to it succeeds.
 	Held bool
 	Cold bool
+	// Leaving is true if the server has announced that it is leaving.
+	Leaving bool
+	// PausedFor is how long the server gets no requests from this VM because it has asked for that.
+	PausedFor time.Duration
 	// Slowness is the latency relative to the median of the zone, or 0 if unknown.
 	Slowness float64
 	// Failures is the fraction of failed requests, 0 to 1.
@@ -38,13 +42,14 @@
 	return ejected >= unreachableZoneServers
 }
 
-// Describe returns the measurements of a server at now, with only Cold set if there are none.
+// Describe returns the measurements of a server at now, with only Cold and Leaving set if there are none.
 func (b *Balancer) Describe(e discoverer.Endpoint, now time.Time) Description {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	d := Description{
 		Cold: e.ColdUntil.After(now),
 	}
+	_, d.Leaving = b.departures[e.Key().Hash()]
 	s, ok := b.servers[e.Key()]
 	if !ok {
 		return d
@@ -52,6 +57,7 @@
 	zone := b.zoneStateOf(s.hash)
 	d.Running = len(s.attempts)
 	d.Held = s.ejection > 0
+	d.PausedFor = max(0, s.pausedUntil.Sub(now))
 	slowness, at := b.currentSlowness(s, now)
 	if zone.slownessAt.After(at) {
 		slowness = zone.slowness
--- a/internal/balancer/observation.go
+++ b/internal/balancer/observation.go
@@ -32,6 +32,8 @@
 	Slowness float64
 	// Age is the time since the request that Slowness was measured with.
 	Age time.Duration
+	// Leaving is true if the server announced that it is leaving.
+	Leaving bool
 }
 
 // ServerHealth is the combined health of a backend server as observed by the VMs of a zone.
@@ -44,6 +46,8 @@
 	Failures float64
 	// Age is the time since the last request that contributed.
 	Age time.Duration
+	// Leaving is true if the server announced that it is leaving. The other fields may be unknown then: Slowness 1, Failures 0.
+	Leaving bool
 }
 
 // zoneState combines the observations of the zone's VMs about a server. Its times are on the clock of this VM.
@@ -161,18 +165,47 @@
 		list = append(list, o)
 		reported[o.Server] = s
 	}
+	for server, d := range b.departures {
+		if !d.unreported {
+			continue
+		}
+		i := slices.IndexFunc(list, func(o Observation) bool { return o.Server == server })
+		if i < 0 {
+			list = append(list, Observation{
+				Server: server,
+			})
+			i = len(list) - 1
+		}
+		list[i].Leaving = true
+	}
 	slices.SortFunc(list, func(x, y Observation) int {
-		return cmp.Or(cmp.Compare(y.Failed, x.Failed), cmp.Compare(y.Slowness, x.Slowness))
+		return cmp.Or(compareLeaving(x.Leaving, y.Leaving), cmp.Compare(y.Failed, x.Failed), cmp.Compare(y.Slowness, x.Slowness))
 	})
 	list = list[:min(len(list), maxHealthEntries)]
 	for _, o := range list {
-		s := reported[o.Server]
-		s.unreportedSuccesses, s.unreportedFailures = 0, 0
-		s.reportedAt = now
+		if d, ok := b.departures[o.Server]; ok {
+			d.unreported = false
+		}
+		if s, ok := reported[o.Server]; ok {
+			s.unreportedSuccesses, s.unreportedFailures = 0, 0
+			s.reportedAt = now
+		}
 	}
 	return list
 }
 
+// compareLeaving orders servers that are leaving before others, so that a full message does not omit them.
+func compareLeaving(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // AddObservations adds the observations of another VM in the zone.
 func (b *Balancer) AddObservations(list []Observation, now time.Time) {
 	b.mu.Lock()
@@ -182,6 +215,9 @@
 
 func (b *Balancer) addObservations(list []Observation, now time.Time) {
 	for _, o := range list[:min(len(list), maxHealthEntries)] {
+		if o.Leaving {
+			b.recordDeparture(o.Server, false, now)
+		}
 		z := b.ensureZoneState(o.Server)
 		if o.Answered+o.Failed > 0 {
 			z.recordResults(max(o.Answered, 0), max(o.Failed, 0), now)
@@ -209,18 +245,46 @@
 			Age:      max(now.Sub(z.updatedAt()), 0),
 		})
 	}
+	list = b.markDepartures(list, now)
 	slices.SortFunc(list, func(x, y ServerHealth) int {
-		return cmp.Or(cmp.Compare(y.Failures, x.Failures), cmp.Compare(y.Slowness, x.Slowness))
+		return cmp.Or(compareLeaving(x.Leaving, y.Leaving), cmp.Compare(y.Failures, x.Failures), cmp.Compare(y.Slowness, x.Slowness))
 	})
 	return list[:min(len(list), maxHealthEntries)]
 }
 
+// markDepartures sets Leaving for the servers whose departure has become known within maxHealthAge, and adds those that list does
+// not contain. VMs that exchange observations receive each departure several times.
+func (b *Balancer) markDepartures(list []ServerHealth, now time.Time) []ServerHealth {
+	recent := map[uint64]*departure{}
+	for server, d := range b.departures {
+		if now.Sub(d.since) <= maxHealthAge {
+			recent[server] = d
+		}
+	}
+	for i := range list {
+		_, list[i].Leaving = recent[list[i].Server]
+		delete(recent, list[i].Server)
+	}
+	for server, d := range recent {
+		list = append(list, ServerHealth{
+			Server:   server,
+			Slowness: 1,
+			Age:      now.Sub(d.since),
+			Leaving:  true,
+		})
+	}
+	return list
+}
+
 // ApplyZoneHealth replaces older states by the health that the VM collecting the observations of the zone has sent.
 func (b *Balancer) ApplyZoneHealth(list []ServerHealth, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expireZoneStates(now)
 	for _, h := range list[:min(len(list), maxHealthEntries)] {
+		if h.Leaving {
+			b.recordDeparture(h.Server, false, now)
+		}
 		z := b.ensureZoneState(h.Server)
 		at := now.Add(-h.Age)
 		if h.Age < 0 || h.Age > maxHealthAge || math.IsNaN(h.Slowness) || math.IsNaN(h.Failures) || !at.After(z.updatedAt()) {
--- a/internal/balancer/select.go
+++ b/internal/balancer/select.go
@@ -23,20 +23,22 @@
 	Now      time.Time
 }
 
-// Select returns the server with the lowest expected latency, or false if no server is available.
+// Select returns the server with the lowest expected latency, or false if no server is available. A server that is leaving is
+// returned only if no other server is available.
 func (b *Balancer) Select(p SelectParams) (discoverer.Endpoint, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var best discoverer.Endpoint
 	var lowest time.Duration
-	found := false
+	preference := unavailable
 	unassigned := b.unassigned(p)
 	for _, e := range p.Endpoints {
 		if slices.Contains(p.Excluded, e.Key()) || !p.Route.AllowsRegion(e.Region) {
 			continue
 		}
 		s := b.server(e.Key())
-		if !b.available(s, e, p) {
+		a := b.availability(s, e, p)
+		if a == unavailable || a < preference {
 			continue
 		}
 		expected := b.expectedLatency(s, e, p)
@@ -45,11 +47,11 @@
 		}
 		// Up to 10 percent of random extra latency prevents VMs with the same measurements from selecting the same server.
 		expected += time.Duration(float64(expected) * 0.1 * rand.Float64())
-		if !found || expected < lowest {
-			best, lowest, found = e, expected, true
+		if a > preference || expected < lowest {
+			best, lowest, preference = e, expected, a
 		}
 	}
-	return best, found
+	return best, preference != unavailable
 }
 
 // unassigned returns the servers that this VM does not use. There are none unless a server accepts fewer connections than there
@@ -98,19 +100,17 @@
 	return false
 }
 
-// available reports whether the server is not ejected and can receive another request within its connection limit and, if it is
-// cold, its rate limit.
-func (b *Balancer) available(s *serverState, e discoverer.Endpoint, p SelectParams) bool {
-	if s.ejection > 0 {
-		return false
-	}
+// availability returns whether the server may receive another request within its connection limit and, if it is cold, its rate
+// limit.
+func (b *Balancer) availability(s *serverState, e discoverer.Endpoint, p SelectParams) availability {
 	if len(s.attempts) >= b.connectionLimit(p.Service) {
-		return false
+		return unavailable
 	}
-	if e.ColdUntil.After(p.Now) && p.Service.MaxColdRate > 0 {
-		return s.cold.allow(p.Now, p.Service.MaxColdRate/float64(b.vms))
+	if e.ColdUntil.After(p.Now) && p.Service.MaxColdRate > 0 && !s.cold.allow(p.Now, p.Service.MaxColdRate/float64(b.vms)) {
+		return unavailable
 	}
-	return true
+	a, _ := b.admission(s, p.Now)
+	return a
 }
 
 // usableConnectionShare is the fraction of a server's connections that the known VMs use. The rest is reserved for VMs that have
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -30,6 +30,11 @@
 	Signature string
 	// Load is nil if the server does not report its load.
 	Load *balancer.Load
+	// Leaving is true if the server announces that it is leaving.
+	Leaving bool
+	// RetryAfter is the time for which the server wants no requests from this VM, or 0 if it has not rejected the request or does
+	// not state a time.
+	RetryAfter time.Duration
 	// IdleTimeout is how long the server keeps an idle connection open, or 0 if the server does not state it.
 	IdleTimeout time.Duration
 }
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -193,8 +194,8 @@
 	return out
 }
 
-// failFast marks the shards without a reachable server as failed. It returns a Failure if too few shards remain, and nil
-// otherwise.
+// failFast marks the shards without a server that may get requests as failed. It returns a Failure if too few shards remain, and
+// nil otherwise.
 func (j *job) failFast(now time.Time) Outcome {
 	listed := 0
 	for i := range j.shards {
@@ -202,11 +203,7 @@
 		if len(s.endpoints) > 0 {
 			listed++
 		}
-		if !j.d.o.Balancer.AnyReachable(s.endpoints) {
-			s.failed = true
-			s.lastCode = classifier.NoReplica
-			j.failed++
-		}
+		j.failIfUnavailable(s, now)
 	}
 	reachable := len(j.shards) - j.failed
 	if reachable >= j.minShards {
@@ -217,13 +214,44 @@
 		RetryAfter: noServerRetryAfter,
 	}
 	if listed >= j.minShards {
-		out.RetryAfter = unreachableRetryAfter
+		out.RetryAfter = j.retryAfter(unreachableRetryAfter, now)
 	}
 	j.d.o.Metrics.Refused.Inc()
 	j.logDecision(now, "no server").Int("Listed", listed).Int("Reachable", reachable).Int("Needed", j.minShards).Msg("The request failed because too few shards have a reachable server.")
 	return out
 }
 
+// failIfUnavailable marks the shard as failed if all of its servers are unreachable, have left or want no requests for some
+// time.
+func (j *job) failIfUnavailable(s *shard, now time.Time) {
+	wait, ok := j.d.o.Balancer.Wait(s.endpoints, now)
+	if ok && wait == 0 {
+		return
+	}
+	s.failed = true
+	s.lastCode = classifier.NoReplica
+	if ok {
+		s.lastCode = classifier.Shed
+	}
+	j.failed++
+}
+
+// retryAfter returns the time until enough shards have a server that accepts requests, at least minDelay. Servers that are
+// unreachable for this VM may answer another one, to which the caller's next attempt may go.
+func (j *job) retryAfter(minDelay time.Duration, now time.Time) time.Duration {
+	waits := make([]time.Duration, 0, len(j.shards))
+	for i := range j.shards {
+		if wait, ok := j.d.o.Balancer.Wait(j.shards[i].endpoints, now); ok {
+			waits = append(waits, wait)
+		}
+	}
+	if len(waits) < j.minShards || j.minShards == 0 {
+		return minDelay
+	}
+	slices.Sort(waits)
+	return max(minDelay, waits[j.minShards-1])
+}
+
 // unreachableRetryAfter is short because another VM may be able to reach the servers.
 const unreachableRetryAfter = 100 * time.Millisecond
 
@@ -287,8 +315,10 @@
 	resp, reply, err := j.d.o.Sender.Send(j.ctx, &j.request, a.endpoint, !j.request.Route.Idempotent)
 	now := j.d.o.Timer.Now()
 	a.balancerAttempt.End(balancer.AttemptResult{
-		Outcome: attemptOutcome(reply, err),
-		Load:    reply.Load,
+		Outcome:    attemptOutcome(reply, err),
+		Load:       reply.Load,
+		Leaving:    reply.Leaving,
+		RetryAfter: reply.RetryAfter,
 	}, now)
 	r := result{
 		shard:    a.shard,
@@ -419,7 +449,9 @@
 			continue
 		}
 		if len(s.tried) == 0 {
-			j.start(i, now)
+			if !j.start(i, now) {
+				j.failIfUnavailable(s, now)
+			}
 			continue
 		}
 		if j.canHedge(s) && now.Sub(s.sentAt) >= j.hedgeAfter && j.hedge(i, now) {
--- a/internal/dispatcher/outcome.go
+++ b/internal/dispatcher/outcome.go
@@ -75,9 +75,9 @@
 	case !code.NotRun():
 		// No server was available before the deadline.
 		out.Code = classifier.Overloaded
-		out.RetryAfter = overloadedRetryAfter
+		out.RetryAfter = j.retryAfter(overloadedRetryAfter, now)
 	default:
-		out.RetryAfter = overloadedRetryAfter
+		out.RetryAfter = j.retryAfter(overloadedRetryAfter, now)
 	}
 	j.d.o.Metrics.Refused.Inc()
 	j.logDecision(now, "refused").Stringer("Code", out.Code).Stringer("Cause", code).Int("Done", j.succeeded).Int("Failed", j.failed).
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -133,9 +133,10 @@
 		log:            l.Part("runner"),
 		healthLog:      l.RateLimitedPart("tracker", droppedLines),
 		balancer: balancer.New(balancer.Config{
-			Name:   cfg.Name,
-			Zone:   cfg.Zone,
-			Region: cfg.Region,
+			Name:           cfg.Name,
+			Zone:           cfg.Zone,
+			Region:         cfg.Region,
+			DepartureGrace: max(0, cfg.DrainTimeout-drainMargin),
 		}),
 		pooler: pooler.New(connector.NewHTTPDialer()),
 		budgeter: budgeter.New(budgeter.Config{
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -99,7 +99,7 @@
 func (g *Gateway) updateTimeDependentState(now time.Time) {
 	g.serverSink.Expire(now)
 	for _, change := range g.balancer.HealthChanges(now) {
-		g.healthLog.Info().Str("Server", change.Server.ID).Bool("SlowOrFailing", change.Degraded).Bool("Unreachable", change.Ejected).Float64("Slowness", change.Slowness).
+		g.healthLog.Info().Str("Server", change.Server.ID).Bool("SlowOrFailing", change.Degraded).Bool("Unreachable", change.Ejected).Bool("Leaving", change.Leaving).Bool("Paused", change.Paused).Float64("Slowness", change.Slowness).
 			Float64("Failures", change.Failures).Dur("Age", change.Age).Msg("The health of a backend server changed.")
 	}
 	if n := g.droppedLines.Total(); n > g.reportedDrops+dropReportThreshold {
@@ -133,7 +133,7 @@
 	g.balancer.Retain(known, func(route string) bool {
 		_, ok := routeNames[route]
 		return ok
-	})
+	}, now)
 	g.pooler.Trim(now, known)
 	g.budgeter.Retain(func(service string) bool {
 		_, ok := table.Services[service]
