Bound the memory and the time of responses without end

Incomplete responses of all connections now share 16 MB; each may have 256 KB in any case.

The latency of other requests beside the attack was not measured.

--- a/internal/configurer/gateway.go
+++ b/internal/configurer/gateway.go
@@ -39,6 +39,8 @@
 	// turns out to be bad. ExposureTolerance is the number of requests allowed beyond that share.
 	ExposureShare     float64
 	ExposureTolerance float64
+	// MemoryBytes is the memory that the process may use, 0 if it is not limited.
+	MemoryBytes int64
 }
 
 // Validate returns an error that lists all invalid settings, or nil.
@@ -60,6 +62,9 @@
 			faults = append(faults, fmt.Errorf("%s is missing or not positive", f.name))
 		}
 	}
+	if g.MemoryBytes < 0 {
+		faults = append(faults, errors.New("the memory limit is negative"))
+	}
 	if g.RetryRatio < 0 || g.RetryExtra < 0 {
 		faults = append(faults, errors.New("the ratio or the number of extra requests of the retry budget is negative"))
 	}
--- a/internal/connector/http.go
+++ b/internal/connector/http.go
@@ -18,6 +18,8 @@
 // HTTPDialer is the Dialer for backend servers with a JSON API over HTTP/1.1.
 type HTTPDialer struct {
 	dialer net.Dialer
+	// buffers is shared by all connections of the dialer.
+	buffers bufferLimit
 }
 
 // NewHTTPDialer returns a Dialer that opens TCP connections.
@@ -42,7 +44,12 @@
 	if err != nil {
 		return nil, classifier.Errorf(classifier.NotSent, "no connection to the backend server %s: %w", addr, err)
 	}
-	return newHTTPConn(c), nil
+	return newHTTPConn(c, &d.buffers), nil
+}
+
+// MostBufferedBytes returns the highest number of bytes of incomplete responses that the dialer's connections have held together.
+func (d *HTTPDialer) MostBufferedBytes() int64 {
+	return d.buffers.most.Load()
 }
 
 // apiConn is the Conn implementation for the search and operation API.
--- a/internal/connector/httpconn.go
+++ b/internal/connector/httpconn.go
@@ -39,9 +39,9 @@
 	unusable atomic.Bool
 }
 
-func newHTTPConn(c net.Conn) *HTTPConn {
+func newHTTPConn(c net.Conn, limit *bufferLimit) *HTTPConn {
 	return &HTTPConn{
-		stream: newStream(c),
+		stream: newStream(c, limit),
 		host:   c.RemoteAddr().String(),
 	}
 }
@@ -71,6 +71,7 @@
 		return classifier.Errorf(classifier.NotSent, "the idle connection to %s cannot be used again: %w", c.host, err)
 	}
 	c.stream.bytesWritten = 0
+	defer c.stream.buffered.release()
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.Close()
 	})
--- a/internal/connector/stream.go
+++ b/internal/connector/stream.go
@@ -22,11 +22,16 @@
 	raw          syscall.RawConn
 	bytesWritten int
 	firstErr     error
+	// buffered counts the bytes received in the current exchange.
+	buffered bufferCount
 }
 
-func newStream(c net.Conn) *stream {
+func newStream(c net.Conn, limit *bufferLimit) *stream {
 	s := &stream{
 		Conn: c,
+		buffered: bufferCount{
+			limit: limit,
+		},
 	}
 	if sc, ok := c.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
@@ -37,7 +42,12 @@
 }
 
 func (s *stream) Read(p []byte) (int, error) {
+	p = p[:min(len(p), maxReadBytes)]
+	if err := s.buffered.reserve(len(p)); err != nil {
+		return 0, err
+	}
 	n, err := s.Conn.Read(p)
+	s.buffered.giveBack(len(p) - n)
 	s.recordError(err)
 	return n, err
 }
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -146,6 +147,9 @@
 		}, initialVMCount),
 	}
 	g.balancer.SetVMCount(initialVMCount)
+	if cfg.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(cfg.MemoryBytes)))
+	}
 	g.exporter = exporter.NewForGateway(g.phase)
 	g.registerMetrics()
 	g.serverSink = syncer.NewServerSink(g.board, platform.DecodeServer, g.timer, l.Part("registrar"), discoverer.Config{
@@ -194,6 +198,10 @@
 	}
 }
 
+// heapShare is the fraction of the memory of the process that the Go runtime may use before it collects garbage more often. The rest
+// is for the program itself and for bytes that the kernel has received.
+const heapShare = 0.6
+
 // initialVMCount is the number of VMs among which limits are divided until the list of VMs is known.
 const initialVMCount = 8
 
