Do not take an answer without a request ID for the one that is awaited on a used connection

It could happen here: answers without an ID were accepted for whatever request waited, so that a late copy without one went to the next caller. They are accepted on a new connection only, which is closed after them. Copies with an ID were skipped before and are.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -48,8 +48,8 @@
 type Codec interface {
 	// PrepareRequest adds the ID of the target server and the remaining time to the request.
 	PrepareRequest(req *fasthttp.Request, s *discoverer.Server, remaining time.Duration)
-	// MatchesRequest reports whether the answer belongs to the request with the given ID.
-	MatchesRequest(resp *fasthttp.Response, id string) bool
+	// ResponseID returns the ID of the request that the answer belongs to, or "" if the answer does not state it.
+	ResponseID(resp *fasthttp.Response) string
 	// DecodeReply extracts the protocol fields of an answer.
 	DecodeReply(resp *fasthttp.Response) Reply
 }
--- a/internal/dispatcher/sender.go
+++ b/internal/dispatcher/sender.go
@@ -27,14 +27,14 @@
 	if err != nil {
 		return nil, Reply{}, err
 	}
-	resp, reply, err := s.exchange(ctx, r, e, conn)
+	resp, reply, err := s.exchange(ctx, r, e, conn, reused)
 	if err != nil && reused && classifier.CodeOf(err) == classifier.NotSent && ctx.Err() == nil {
 		// The pooled connection was closed before any byte of the request was sent on it. Only a new connection shows whether the
 		// server is reachable.
 		if conn, _, err = s.Pooler.Get(ctx, e.Server, nonIdempotent, dialTimeout, now); err != nil {
 			return nil, Reply{}, err
 		}
-		resp, reply, err = s.exchange(ctx, r, e, conn)
+		resp, reply, err = s.exchange(ctx, r, e, conn, false)
 	}
 	return resp, reply, err
 }
@@ -43,7 +43,9 @@
 // waiting longer does not help.
 const dialTimeout = 250 * time.Millisecond
 
-func (s *PooledSender) exchange(ctx context.Context, r *Request, e discoverer.Endpoint, conn *connector.HTTPConn) (*fasthttp.Response, Reply, error) {
+// exchange sends the request on a connection and returns the connection to the pool. A response without a request ID is accepted only
+// on a new connection, which is then closed: on a reused one it may be a late copy of an earlier response.
+func (s *PooledSender) exchange(ctx context.Context, r *Request, e discoverer.Endpoint, conn *connector.HTTPConn, reused bool) (*fasthttp.Response, Reply, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	r.Header.CopyTo(&req.Header)
@@ -51,8 +53,10 @@
 	deadline, _ := ctx.Deadline()
 	s.Codec.PrepareRequest(req, e.Server, deadline.Sub(s.Timer.Now()))
 	resp := fasthttp.AcquireResponse()
+	id := ""
 	err := conn.Exchange(ctx, req, resp, func(resp *fasthttp.Response) bool {
-		return s.Codec.MatchesRequest(resp, r.ID)
+		id = s.Codec.ResponseID(resp)
+		return id == r.ID || id == "" && !reused
 	})
 	if err != nil {
 		fasthttp.ReleaseResponse(resp)
@@ -60,6 +64,9 @@
 		return nil, Reply{}, err
 	}
 	reply := s.Codec.DecodeReply(resp)
+	if id == "" {
+		_ = conn.Close()
+	}
 	s.Pooler.Put(e.Server, conn, reply.IdleTimeout, s.Timer.Now())
 	return resp, reply, nil
 }
