--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -38,6 +38,7 @@
 	resets            behavior = "break"
 	refusesConnection behavior = "down"
 	hangs             behavior = "silent"
+	panics            behavior = "panic"
 )
 
 // pauseDuration is the time for which a server that pauses wants no requests.
@@ -84,6 +85,8 @@
 		return nil, dispatcher.Reply{}, classifier.Errorf(classifier.ConnectionReset, "the connection was reset")
 	case refusesConnection:
 		return nil, dispatcher.Reply{}, classifier.Errorf(classifier.NotSent, "the connection was refused")
+	case panics:
+		panic("a fault in the sender")
 	case hangs:
 		<-ctx.Done()
 		return nil, dispatcher.Reply{}, classifier.Errorf(classifier.Timeout, "no answer")
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -312,7 +314,7 @@
 func (a *attempt) run() {
 	j := a.job
 	startedAt := j.d.o.Timer.Now()
-	resp, reply, err := j.d.o.Sender.Send(j.ctx, &j.request, a.endpoint, !j.request.Route.Idempotent)
+	resp, reply, err := a.send()
 	now := j.d.o.Timer.Now()
 	a.balancerAttempt.End(balancer.AttemptResult{
 		Outcome:    attemptOutcome(reply, err),
@@ -330,6 +332,19 @@
 	j.results <- r
 }
 
+// send sends the request. A panic fails the attempt only; the server may have run the request then.
+func (a *attempt) send() (resp *fasthttp.Response, reply Reply, err error) {
+	j := a.job
+	defer func() {
+		if v := recover(); v != nil {
+			j.logDecision(j.d.o.Timer.Now(), "panic").Str("Server", a.endpoint.ID).Str("Fault", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).
+				Msg("An attempt panicked.")
+			resp, reply, err = nil, Reply{}, classifier.Errorf(classifier.OutcomeUnknown, "the attempt panicked: %v", v)
+		}
+	}()
+	return j.d.o.Sender.Send(j.ctx, &j.request, a.endpoint, !j.request.Route.Idempotent)
+}
+
 func attemptOutcome(r Reply, err error) balancer.AttemptOutcome {
 	if err != nil {
 		switch classifier.CodeOf(err) {
--- a/internal/executor/batch.go
+++ b/internal/executor/batch.go
@@ -63,7 +63,8 @@
 
 // Search runs a batch. It returns when all sub-requests are done or SoftWait has passed, whichever is earlier. The error is
 // always nil; the codes of the answers report refusals.
-func (e *Executor) Search(req *messenger.SearchRequest, reply *messenger.SearchReply) error {
+func (e *Executor) Search(req *messenger.SearchRequest, reply *messenger.SearchReply) (err error) {
+	defer messenger.RecoverCall(&err)
 	e.recorder.Observe(req.Stamp)
 	if code := e.checkBatch(req); code != classifier.OK {
 		reply.Answers = refuseAll(req.Subs, code)
@@ -79,7 +80,8 @@
 
 // Collect returns further answers of a batch. It returns when at least one more sub-request is done or Wait has passed. The error
 // is NotFound for a token that is unknown or has expired.
-func (e *Executor) Collect(req *messenger.CollectRequest, reply *messenger.SearchReply) error {
+func (e *Executor) Collect(req *messenger.CollectRequest, reply *messenger.SearchReply) (err error) {
+	defer messenger.RecoverCall(&err)
 	e.recorder.Observe(req.Stamp)
 	b := e.tokens.find(req.Token)
 	if b == nil {
@@ -92,7 +94,8 @@
 
 // Cancel cancels sub-requests of a batch and closes the connections on which they run. An unknown token is not an error, because
 // the batch may be done. Cancel sets only the stamp of the reply. The error is always nil.
-func (e *Executor) Cancel(req *messenger.CancelRequest, reply *messenger.CancelReply) error {
+func (e *Executor) Cancel(req *messenger.CancelRequest, reply *messenger.CancelReply) (err error) {
+	defer messenger.RecoverCall(&err)
 	e.recorder.Observe(req.Stamp)
 	if b := e.tokens.find(req.Token); b != nil {
 		b.cancelSubs(req.Subs)
--- a/internal/executor/operation.go
+++ b/internal/executor/operation.go
@@ -10,13 +10,13 @@
 
 // Run sends an operation once to a replica that this VM owns. The code of the reply is OK, a code whose NotRun method returns
 // true if no byte was written or the server refused the operation, or a code for an unknown outcome. The error is always nil.
-func (e *Executor) Run(req *messenger.RunRequest, reply *messenger.RunReply) error {
+func (e *Executor) Run(req *messenger.RunRequest, reply *messenger.RunReply) (err error) {
+	defer messenger.RecoverCall(&err)
 	e.recorder.Observe(req.Stamp)
 	c := &operationCall{
 		req: req,
 	}
-	err := e.runOperation(req, c)
-	reply.Code = operationCode(err)
+	reply.Code = operationCode(e.runOperation(req, c))
 	reply.Body = c.answer.Body
 	if reply.Code == classifier.NotOwner {
 		reply.Holder = e.holder(req.Replica)
--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -266,7 +266,8 @@
 }
 
 // Exchange applies the sender's changes and returns the changes of this VM. It always returns nil.
-func (h *exchangeHandler) Exchange(req *messenger.ExchangeRequest, reply *messenger.ExchangeReply) error {
+func (h *exchangeHandler) Exchange(req *messenger.ExchangeRequest, reply *messenger.ExchangeReply) (err error) {
+	defer messenger.RecoverCall(&err)
 	h.g.serveExchange(req, reply)
 	h.g.deliver()
 	return nil
--- a/internal/installer/server.go
+++ b/internal/installer/server.go
@@ -8,8 +8,7 @@
 )
 
 // FetchParts serves Peer.FetchParts. The reply contains the requested parts that are in the cache, up to maxReplyBytes in total.
-// It never returns an error.
-func (in *Installer) FetchParts(r *messenger.FetchPartsRequest, reply *messenger.FetchPartsReply) error {
+func (in *Installer) FetchParts(r *messenger.FetchPartsRequest, reply *messenger.FetchPartsReply) {
 	in.opts.Recorder.Observe(r.Stamp)
 	reply.Stamp = in.opts.Recorder.NextStamp()
 	reply.Parts = map[string][]byte{}
@@ -22,11 +21,10 @@
 			continue
 		}
 		if size += len(c.value); size > maxReplyBytes {
-			return nil
+			return
 		}
 		reply.Parts[sum] = c.value
 	}
-	return nil
 }
 
 func (in *Installer) callPeer(ctx context.Context, addr netip.AddrPort, sums []string, reply *messenger.FetchPartsReply) error {
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -301,7 +301,8 @@
 }
 
 // Heartbeat handles the heartbeat of a holder, which asks this VM as its successor for leases. The error is always nil.
-func (r *rpcReceiver) Heartbeat(req *messenger.HeartbeatRequest, reply *messenger.HeartbeatReply) error {
+func (r *rpcReceiver) Heartbeat(req *messenger.HeartbeatRequest, reply *messenger.HeartbeatReply) (err error) {
+	defer messenger.RecoverCall(&err)
 	r.l.handle(req.From, func(v view, now time.Time) {
 		*reply = *r.l.state.handleHeartbeat(v, req, now)
 	})
@@ -310,7 +311,8 @@
 
 // Release handles a request of a VM that claims replicas, recalls the floor half, cancels a promise, probes its holder, or shuts
 // down. The error is always nil.
-func (r *rpcReceiver) Release(req *messenger.ReleaseRequest, reply *messenger.ReleaseReply) error {
+func (r *rpcReceiver) Release(req *messenger.ReleaseRequest, reply *messenger.ReleaseReply) (err error) {
+	defer messenger.RecoverCall(&err)
 	r.l.handle(req.From, func(v view, now time.Time) {
 		*reply = *r.l.state.handleRelease(v, req, now)
 	})
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/rpc"
 	"reflect"
+	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
@@ -164,6 +166,17 @@
 	return wireName
 }
 
+// panicPrefix is the start of the errors of calls that panicked.
+const panicPrefix = "the call panicked: "
+
+// RecoverCall turns a panic into an error of the call, so that it does not end the process. An RPC method defers it with a pointer to
+// its result.
+func RecoverCall(err *error) {
+	if v := recover(); v != nil {
+		*err = fmt.Errorf("%s%v\n%s", panicPrefix, v, debug.Stack())
+	}
+}
+
 // serverCodec adds the stamps, the mapping of method names and the limit on running calls to a codec. Each running call occupies
 // one element of callSlots. net/rpc answers every call whose header was read exactly once, so every element is freed.
 type serverCodec struct {
@@ -194,6 +207,9 @@
 	defer func() {
 		<-c.callSlots
 	}()
+	if strings.HasPrefix(r.Error, panicPrefix) {
+		c.server.log.Error().Str("Method", r.ServiceMethod).Str("Fault", r.Error).Msg("A call of another VM panicked.")
+	}
 	stampMessage(c.server.recorder, body)
 	return c.ServerCodec.WriteResponse(r, body)
 }
--- a/internal/promoter/exchange.go
+++ b/internal/promoter/exchange.go
@@ -144,7 +144,8 @@
 
 // Exchange stores the reports of the sending VM if it is in the same zone, and replies with the aggregated reports of all known
 // zones. A VM of another zone receives only the report of this zone.
-func (s *Server) Exchange(req messenger.MovesRequest, reply *messenger.MovesReply) error {
+func (s *Server) Exchange(req messenger.MovesRequest, reply *messenger.MovesReply) (err error) {
+	defer messenger.RecoverCall(&err)
 	p := s.Promoter
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/responder/query.go
+++ b/internal/responder/query.go
@@ -274,7 +274,8 @@
 
 // Query runs a request that another entry VM has forwarded. The request is not forwarded again. Failures are part of the encoded
 // response, so the returned error is always nil.
-func (s *RPCService) Query(req *messenger.QueryRequest, resp *messenger.QueryReply) error {
+func (s *RPCService) Query(req *messenger.QueryRequest, resp *messenger.QueryReply) (err error) {
+	defer messenger.RecoverCall(&err)
 	s.r.activeRequests.Add(1)
 	defer s.r.activeRequests.Add(-1)
 	s.r.opts.Recorder.Observe(req.Stamp)
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/anvildyke/anvildyke/internal/detector"
@@ -194,6 +195,12 @@
 
 func (p *connectionProbe) run(ctx context.Context) {
 	g := p.gateway
+	defer func() {
+		if v := recover(); v != nil {
+			g.log.Error().Str("Fault", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).Msg("A connection probe panicked.")
+			g.balancer.RecordProbe(p.endpoint, false, g.timer.Now())
+		}
+	}()
 	conn, _, err := g.pooler.Get(ctx, p.endpoint.Server, true, connectionProbeTimeout, g.timer.Now())
 	now := g.timer.Now()
 	if err == nil {
--- a/internal/runner/receivers.go
+++ b/internal/runner/receivers.go
@@ -12,8 +12,10 @@
 }
 
 // FetchParts returns those of the requested parts of a configuration that this VM has.
-func (p *partsReceiver) FetchParts(req *messenger.FetchPartsRequest, reply *messenger.FetchPartsReply) error {
-	return p.installer.FetchParts(req, reply)
+func (p *partsReceiver) FetchParts(req *messenger.FetchPartsRequest, reply *messenger.FetchPartsReply) (err error) {
+	defer messenger.RecoverCall(&err)
+	p.installer.FetchParts(req, reply)
+	return nil
 }
 
 // eventsReceiver serves Peer.Events.
@@ -22,7 +24,8 @@
 }
 
 // Events returns the events of this VM's timeline that match the filter of the request.
-func (e *eventsReceiver) Events(req *messenger.EventsRequest, reply *messenger.EventsReply) error {
+func (e *eventsReceiver) Events(req *messenger.EventsRequest, reply *messenger.EventsReply) (err error) {
+	defer messenger.RecoverCall(&err)
 	reply.Events = e.recorder.Events(req.Filter)
 	return nil
 }
--- a/internal/syncer/peers.go
+++ b/internal/syncer/peers.go
@@ -176,7 +176,8 @@
 
 // Follow replies with the changes since the caller's revisions as soon as there are any, or after the wait. It replies at once
 // if the platform is down.
-func (f *FeedServer) Follow(req messenger.FollowRequest, reply *messenger.FollowReply) error {
+func (f *FeedServer) Follow(req messenger.FollowRequest, reply *messenger.FollowReply) (err error) {
+	defer messenger.RecoverCall(&err)
 	s := f.Syncer
 	s.o.Balancer.AddObservations(req.Seen, s.o.Timer.Now())
 	if req.Wait > 0 {
--- a/style_test.go
+++ b/style_test.go
@@ -22,6 +22,38 @@
 	}), "")
 }
 
+// Guards against calls of other VMs whose panic ends the process.
+func TestCallsOfOtherVMsRecover(t *testing.T) {
+	assert.Equal(t, findInSource(t, func(_ *token.FileSet, n ast.Node) bool {
+		fn, ok := n.(*ast.FuncDecl)
+		if !ok || fn.Recv == nil || !fn.Name.IsExported() || !isCall(fn.Type) {
+			return false
+		}
+		for _, stmt := range fn.Body.List {
+			if d, ok := stmt.(*ast.DeferStmt); ok {
+				if f, ok := d.Call.Fun.(*ast.SelectorExpr); ok && f.Sel.Name == "RecoverCall" {
+					return false
+				}
+			}
+		}
+		return true
+	}), "")
+}
+
+// isCall reports whether net/rpc serves a method of this type outside package messenger: the second of two parameters is a pointer to
+// a message whose name ends in Reply.
+func isCall(fn *ast.FuncType) bool {
+	if len(fn.Params.List) != 2 || fn.Results == nil || len(fn.Results.List) != 1 {
+		return false
+	}
+	pointer, ok := fn.Params.List[1].Type.(*ast.StarExpr)
+	if !ok {
+		return false
+	}
+	message, ok := pointer.X.(*ast.SelectorExpr)
+	return ok && strings.HasSuffix(message.Sel.Name, "Reply")
+}
+
 // Guards against values that turn into other bytes of the same length. Go 1.26 does not keep the elements of a local [2]string
 // alive that is indexed by a variable: if the element is part of a concatenation or passed as an interface, the garbage collector
 // may free the strings while the array is still used. Slices are not affected.
