--- a/internal/storeclient/source.go
+++ b/internal/storeclient/source.go
@@ -32,8 +32,9 @@
 type Source interface {
 	// Ping returns nil if the platform answers. It costs the platform less than the other calls.
 	Ping(ctx context.Context) error
-	// ListKind returns all objects of the kind.
-	ListKind(ctx context.Context, kind string) (Batch, error)
+	// ListKind returns all objects of the kind. With allowStale the list may be seconds old, and the call costs the platform as little
+	// as a ping.
+	ListKind(ctx context.Context, kind string, allowStale bool) (Batch, error)
 	// WatchKind returns the changes after the revision, and waits up to wait until there are any. It returns ErrHistoryGone if the
 	// platform no longer has them.
 	WatchKind(ctx context.Context, kind string, after uint64, wait time.Duration) (Batch, error)
--- a/internal/syncer/platformreader.go
+++ b/internal/syncer/platformreader.go
@@ -48,7 +48,7 @@
 	for ctx.Err() == nil {
 		if !synced {
 			call, cancel := context.WithTimeout(ctx, listTimeout)
-			b, err := r.source.ListKind(call, r.changes.kind)
+			b, err := r.source.ListKind(call, r.changes.kind, false)
 			cancel()
 			if !r.handleResult(ctx, err) {
 				continue
--- a/internal/syncer/startup.go
+++ b/internal/syncer/startup.go
@@ -34,7 +34,13 @@
 	call, cancel := context.WithTimeout(ctx, s.platformTimeout(callTimeout))
 	defer cancel()
 	l := s.o.VMLog
-	b, err := s.o.Source.ListKind(call, l.kind)
+	// When many VMs start again at once, their calls are the largest load on the platform. Entries of the last seconds are not needed:
+	// the reader of the zone passes them on. At the first start, the list is being written at this moment.
+	allowStale := !s.o.FirstStart
+	b, err := s.o.Source.ListKind(call, l.kind, allowStale)
+	if err == nil && allowStale && len(b.Items) == 0 {
+		b, err = s.o.Source.ListKind(call, l.kind, false)
+	}
 	if err != nil {
 		if !l.PlatformDown() {
 			s.o.Log.Warn().Err(err).Msg("The list of VMs cannot be read.")
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -48,6 +48,10 @@
 	watches int
 	// lists counts the calls that read the whole list of things.
 	lists int
+	// freshVMLists counts the calls that read the list of VMs in its latest version.
+	freshVMLists int
+	// staleUntil is the revision up to which stale lists contain changes.
+	staleUntil uint64
 	// failing is the kind whose watches fail while the platform answers other calls.
 	failing string
 }
@@ -94,6 +98,21 @@
 	return b
 }
 
+// until returns a stale list of the kind, which lacks the changes after staleUntil.
+func (p *fakePlatform) until(kind string) storeclient.Batch {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := storeclient.Batch{
+		Revision: p.staleUntil,
+	}
+	for _, change := range p.kinds[kind] {
+		if change.Revision <= p.staleUntil {
+			b.Items = append(b.Items, change.Items...)
+		}
+	}
+	return b
+}
+
 // vmSource is the storeclient.Source of one VM.
 type vmSource struct {
 	platform *fakePlatform
@@ -115,10 +134,18 @@
 	return v.checkReachable(ctx)
 }
 
-func (v vmSource) ListKind(ctx context.Context, kind string) (storeclient.Batch, error) {
+func (v vmSource) ListKind(ctx context.Context, kind string, allowStale bool) (storeclient.Batch, error) {
 	if err := v.checkReachable(ctx); err != nil {
 		return storeclient.Batch{}, err
 	}
+	if allowStale {
+		return v.platform.until(kind), nil
+	}
+	if kind == kindVM {
+		v.platform.mu.Lock()
+		v.platform.freshVMLists++
+		v.platform.mu.Unlock()
+	}
 	if kind == kindObject {
 		v.platform.mu.Lock()
 		v.platform.lists++
@@ -154,6 +181,8 @@
 
 // fakeNetwork passes calls between the VMs of a test.
 type fakeNetwork struct {
+	// boards contains the board of each VM.
+	boards  []*blackboard.Gateway
 	mu      sync.Mutex
 	servers map[netip.AddrPort]*syncer.FeedServer
 	// unresponsive contains the addresses of VMs that are on the list and do not answer.
@@ -288,6 +317,7 @@
 		}
 		syncers = append(syncers, s)
 		network.syncers = append(network.syncers, s)
+		network.boards = append(network.boards, board)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -438,6 +468,34 @@
 	assert.Assert(t, p.watches < 150, "%d watches", p.watches)
 }
 
+// All VMs of a zone start again at the same moment, and the platform's stale list of VMs lacks some of them or all. Guards against a
+// full-price call by each VM, against VMs that stay unknown, and against VMs that take themselves for the only one.
+func TestRestartedVMsReadStaleList(t *testing.T) {
+	const vms = 20
+	for _, known := range []uint64{vms, vms / 2, 0} {
+		t.Run(fmt.Sprint("entries in the stale list: ", known), func(t *testing.T) {
+			p := newPlatform()
+			p.staleUntil = known
+			sinks, network := startVMsExcept(t, p, vms)
+			p.put(kindObject, "a", "1")
+			waitForValue(t, sinks, "1")
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				for _, board := range network.boards {
+					if n := len(board.VMs.Read().VMs); n != vms {
+						return poll.Continue("a VM knows %d VMs", n)
+					}
+				}
+				return poll.Success()
+			}, poll.WithTimeout(30*time.Second))
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if known > 0 {
+				assert.Assert(t, p.freshVMLists <= 2, "%d calls", p.freshVMLists)
+			}
+		})
+	}
+}
+
 // Guards against an outage that counts as over for a kind whose watches still fail, because the platform answers a ping. Lapsed
 // entries of servers would then get another grace period.
 func TestPingDoesNotEndOutageOfKind(t *testing.T) {
