review: a request that crashes servers is sent to them without end

Cause: nothing on the platform's path recognizes a request that comes again after it has crashed servers.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -68,13 +68,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range d.replicas {
-		d.store.put("servers", r.id, r.entry(sequence))
+		if !r.crashed() {
+			d.store.put("servers", r.id, r.entry(sequence))
+		}
 	}
 }
 
 // addReplica starts a replica and registers it.
-func (d *deployment) addReplica(service, id, zone string, slots int, work func() time.Duration) error {
-	r, err := startReplica(d.rec, service, id, zone, slots, work)
+func (d *deployment) addReplica(service, id, zone string, slots int, work func() time.Duration, begins func(*replica, string, string) bool) error {
+	r, err := startReplica(d.rec, service, id, zone, slots, work, begins)
 	if err != nil {
 		return err
 	}
--- a/review/standin/duplicate.go
+++ b/review/standin/duplicate.go
@@ -27,6 +27,7 @@
 	drainPeriod  = 200 * time.Millisecond
 	drainedCount = 5
 	watchedFor   = 20 * time.Second
+	ordinaryPath = "/partner/drop"
 )
 
 // duplicate lets replicas leave while all replicas are slow, and counts the requests that reach one later than the drain timeout.
@@ -42,7 +43,7 @@
 	d.store.put("config", "main", configuration("/partner/", "ingesta", "idempotent", int(partnerBudget.Milliseconds()), 1000))
 	for i := range 9 {
 		zone := []string{"litoral-a", "capital-a", "este-a"}
-		if err := d.addReplica("ingesta", fmt.Sprintf("i-ingesta%d", i), zone[i%len(zone)], 6, work); err != nil {
+		if err := d.addReplica("ingesta", fmt.Sprintf("i-ingesta%d", i), zone[i%len(zone)], 6, work, nil); err != nil {
 			return 0, err
 		}
 	}
@@ -57,6 +58,7 @@
 			d:       d,
 			gateway: g,
 			prefix:  fmt.Sprintf("g%d", i),
+			period:  requestPeriod,
 		}
 		wg.Add(1)
 		go s.run(&wg, start, slowAt.Add(watchedFor))
@@ -84,29 +86,30 @@
 	d       *deployment
 	gateway *gateway
 	prefix  string
+	period  time.Duration
 }
 
 func (s *sender) run(wg *sync.WaitGroup, start, until time.Time) {
 	defer wg.Done()
 	var requests sync.WaitGroup
-	for i, at := 0, start; at.Before(until); i, at = i+1, at.Add(requestPeriod) {
+	for i, at := 0, start; at.Before(until); i, at = i+1, at.Add(s.period) {
 		time.Sleep(time.Until(at))
 		id := fmt.Sprintf("%s-%04d", s.prefix, i)
 		requests.Go(func() {
-			s.send(id)
+			s.send(id, ordinaryPath)
 		})
 	}
 	requests.Wait()
 }
 
-func (s *sender) send(id string) {
+func (s *sender) send(id, path string) {
 	c, err := dialConsumer(s.gateway.front)
 	if err != nil {
 		s.d.rec.add("%s finds no connection: %v", id, err)
 		return
 	}
 	s.d.rec.add("%s sent to %s", id, s.gateway.name)
-	a := c.do("GET", "/partner/drop", id, "", partnerBudget)
+	a := c.do("GET", path, id, "", partnerBudget)
 	_ = c.conn.Close()
 	s.d.rec.addAt(a.ended, "%s answered %d after %s, error %v", id, a.status, a.ended.Sub(a.sent).Round(time.Millisecond), a.err)
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 
 var scenarios = map[string]scenario{
 	"duplicate": duplicate,
+	"poison":    poison,
 	"shutdown":  shutdown,
 }
 
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -25,7 +25,9 @@
 	zone    string
 	slots   int
 	// work returns how long a request runs.
-	work     func() time.Duration
+	work func() time.Duration
+	// begins is called as the replica begins to work on a request. It reports whether the replica crashes; nil means never.
+	begins   func(r *replica, id, path string) bool
 	rec      *record
 	listener net.Listener
 	server   *http.Server
@@ -35,9 +37,11 @@
 	mu    sync.Mutex
 	runs  map[string]*run
 	state string
+	// dead is true once the replica has crashed. It writes its entry no more.
+	dead bool
 }
 
-func startReplica(rec *record, service, id, zone string, slots int, work func() time.Duration) (*replica, error) {
+func startReplica(rec *record, service, id, zone string, slots int, work func() time.Duration, begins func(*replica, string, string) bool) (*replica, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -48,6 +52,7 @@
 		zone:     zone,
 		slots:    slots,
 		work:     work,
+		begins:   begins,
 		rec:      rec,
 		listener: l,
 		free:     make(chan struct{}, slots),
@@ -112,6 +117,9 @@
 	r.runs[id] = e
 	r.mu.Unlock()
 	r.rec.add("replica %s runs %s", r.id, id)
+	if r.begins != nil && r.begins(r, id, req.URL.Path) {
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case <-time.After(r.work()):
 		r.end(e, true)
@@ -125,6 +133,18 @@
 	_, _ = fmt.Fprintf(w, "done %s\n", id)
 }
 
+func (r *replica) markCrashed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dead = true
+}
+
+func (r *replica) crashed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dead
+}
+
 func (r *replica) end(e *run, finished bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/standin/shutdown.go
+++ b/review/standin/shutdown.go
@@ -76,7 +76,7 @@
 func shutdown(d *deployment, trouble bool) (int, error) {
 	d.store.put("config", "main", configuration("/partner/", "ingesta", "non_idempotent", int(shutdownBudget.Milliseconds()), 1000))
 	for i, zone := range []string{"litoral-a", "litoral-a", "litoral-a", "capital-a", "capital-a", "capital-a"} {
-		if err := d.addReplica("ingesta", fmt.Sprintf("i-ingesta%d", i), zone, 6, fixedWork(shutdownWork)); err != nil {
+		if err := d.addReplica("ingesta", fmt.Sprintf("i-ingesta%d", i), zone, 6, fixedWork(shutdownWork), nil); err != nil {
 			return 0, err
 		}
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -84,6 +84,13 @@
 	return time.Now()
 }
 
+// remove removes an object.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, name, nil, nil, true)
+}
+
 func (s *store) write(kind, name string, spec, status json.RawMessage, deleted bool) {
 	s.revision++
 	if s.kinds[kind] == nil {
