--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,9 +19,8 @@
 type scenario func(d *deployment, trouble bool) (broken int, err error)
 
 var scenarios = map[string]scenario{
-	"duplicate": duplicate,
-	"poison":    poison,
-	"shutdown":  shutdown,
+	"poison":   poison,
+	"shutdown": shutdown,
 }
 
 func main() {
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -10,7 +10,9 @@
 // The figures of the script "poison". The site oso-perdido has 9 replicas of ingesta with 6 slots, partner-drop with 220 ms of work and
 // a time budget of 6,000 ms, and a stability window of 4,000 ms.
 const (
-	poisonPath = "/partner/list-77"
+	meanWork      = 220 * time.Millisecond
+	partnerBudget = 6 * time.Second
+	poisonPath    = "/partner/list-77"
 	// poisonPeriod is the time after which the request that crashes replicas comes again.
 	poisonPeriod    = 2 * time.Second
 	poisonCount     = 12
@@ -96,6 +98,7 @@
 			gateway: g,
 			prefix:  fmt.Sprintf("g%d", i),
 			period:  loadPeriod,
+			budget:  partnerBudget,
 		}
 		wg.Add(1)
 		go s.run(&wg, start, start.Add(poisonCount*poisonPeriod))
@@ -104,6 +107,7 @@
 		s := &sender{
 			d:       d,
 			gateway: d.gateways[i%len(d.gateways)],
+			budget:  partnerBudget,
 		}
 		time.Sleep(time.Until(start.Add(time.Duration(i) * poisonPeriod)))
 		id := fmt.Sprintf("poison-%02d", i)
