Answer or refuse every request that a stopping VM accepts on a kept connection

Cause: idle connections stayed open until no request was running, which does not happen under a steady load of kept connections; late requests were accepted whatever they take, and what still ran at the end of the grace period was cut off without an answer. Change: idle connections are closed after the load balancer's delay; requests that are not expected to end in time are refused; requests that still run 0.6 s before the end are answered with what is known. The VM leaves the list of VMs beside that, because a store that does not answer delayed the steps after it.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -40,6 +40,12 @@
 	defaultRequestTimeout = 30 * time.Second
 	// notReadyRetryAfter is the retry delay that callers are given while the VM has not loaded a configuration.
 	notReadyRetryAfter = 500 * time.Millisecond
+	// stoppingRetryAfter is the retry delay that callers are given while the VM stops. Another VM can serve them at once.
+	stoppingRetryAfter = 100 * time.Millisecond
+	// A VM that stops accepts a request only if expectedDurationFactor times the target latency of its route remains, or
+	// defaultExpectedDuration on a route without a target latency.
+	expectedDurationFactor  = 2
+	defaultExpectedDuration = time.Second
 )
 
 // Codec decodes requests and encodes responses in the protocol of the callers.
@@ -75,6 +81,8 @@
 	server      *fasthttp.Server
 	disconnects *disconnectWatcher
 	running     atomic.Int64
+	// stopTime is the time at which a VM that stops ends its requests, nil while it does not stop.
+	stopTime atomic.Pointer[time.Time]
 }
 
 // New returns an Acceptor. It handles connections once Serve is called.
@@ -111,7 +119,8 @@
 	a.disconnects.run(ctx)
 }
 
-// Shutdown waits until all running requests are answered, then closes the connections.
+// Shutdown closes the idle connections, waits until all running requests are answered and closes their connections. It returns the
+// error of ctx if ctx is done before that.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	return a.server.ShutdownWithContext(ctx)
 }
@@ -121,6 +130,31 @@
 	return int(a.running.Load())
 }
 
+// SetStopTime announces that the VM stops and ends its requests at t. Requests that are not expected to be answered by then are
+// refused from now on.
+func (a *Acceptor) SetStopTime(t time.Time) {
+	a.stopTime.Store(&t)
+}
+
+// EndRequests answers the running requests with what is known of them and returns their number. SetStopTime has to be called
+// before, so that no further requests start.
+func (a *Acceptor) EndRequests() int {
+	return a.disconnects.cancelAll(dispatcher.ErrStopping)
+}
+
+// tooLate reports whether the VM stops before a request that arrives now can be expected to be answered.
+func (a *Acceptor) tooLate(route *router.Route, now time.Time) bool {
+	stop := a.stopTime.Load()
+	if stop == nil {
+		return false
+	}
+	expected := expectedDurationFactor * route.TargetLatency
+	if expected <= 0 {
+		expected = defaultExpectedDuration
+	}
+	return stop.Sub(now) < expected
+}
+
 // requestConfig returns the limits that the current configuration sets for a request.
 func (a *Acceptor) requestConfig(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 	limits := a.o.Board.Routes.Read().Limits
@@ -194,6 +228,14 @@
 		})
 		return
 	}
+	if a.tooLate(route, arrived) {
+		a.o.Log.Info().Str("Request", id).Str("Decision", "refused").Stringer("Code", classifier.NotReady).Msg("The VM stops before the request could be answered.")
+		a.writeFailure(ctx, dispatcher.Failure{
+			Code:       classifier.NotReady,
+			RetryAfter: stoppingRetryAfter,
+		})
+		return
+	}
 	if timeout <= 0 {
 		timeout = defaultRequestTimeout
 	}
@@ -202,8 +244,8 @@
 	r.Arrived = arrived
 	r.NetworkDelay = a.networkDelay(ctx)
 	r.Deadline = arrived.Add(timeout)
-	callerCtx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	callerCtx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
 	defer a.disconnects.watch(ctx.Conn(), cancel)()
 	out := a.o.Runner.Run(callerCtx, r)
 	a.o.Metrics.observe(route, out, a.o.Timer.Now().Sub(arrived))
--- a/internal/acceptor/disconnects.go
+++ b/internal/acceptor/disconnects.go
@@ -22,7 +22,7 @@
 
 	mu sync.Mutex
 	// cancels maps each connection with a running request to the function that cancels the request.
-	cancels map[net.Conn]context.CancelFunc
+	cancels map[net.Conn]context.CancelCauseFunc
 	// requestStarted receives a value when a request starts while no other request is running.
 	requestStarted chan struct{}
 }
@@ -30,13 +30,13 @@
 func newDisconnectWatcher(t *timer.Service) *disconnectWatcher {
 	return &disconnectWatcher{
 		timer:          t,
-		cancels:        map[net.Conn]context.CancelFunc{},
+		cancels:        map[net.Conn]context.CancelCauseFunc{},
 		requestStarted: make(chan struct{}, 1),
 	}
 }
 
 // watch calls cancel when the peer closes the connection. The returned function ends the watch.
-func (w *disconnectWatcher) watch(conn net.Conn, cancel context.CancelFunc) (stop func()) {
+func (w *disconnectWatcher) watch(conn net.Conn, cancel context.CancelCauseFunc) (stop func()) {
 	w.mu.Lock()
 	if len(w.cancels) == 0 {
 		select {
@@ -74,12 +74,22 @@
 	defer w.mu.Unlock()
 	for conn, cancel := range w.cancels {
 		if closedByPeer(conn) {
-			cancel()
+			cancel(nil)
 		}
 	}
 	return len(w.cancels) > 0
 }
 
+// cancelAll cancels all running requests for the given cause and returns their number.
+func (w *disconnectWatcher) cancelAll(cause error) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, cancel := range w.cancels {
+		cancel(cause)
+	}
+	return len(w.cancels)
+}
+
 // closedByPeer reports whether the peer has closed the connection. Unread bytes of a further request do not count as a close.
 func closedByPeer(conn net.Conn) bool {
 	sc, ok := conn.(syscall.Conn)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -142,7 +143,11 @@
 // answer and timers that fire late on a busy VM.
 const answerMargin = 12 * time.Millisecond
 
-// Run executes the request and returns its outcome. The cancellation of ctx means that the caller has disconnected.
+// ErrStopping is the cause with which the context of a request is cancelled when the VM stops.
+var ErrStopping = errors.New("the VM stops")
+
+// Run executes the request and returns its outcome. The cancellation of ctx means that the caller has disconnected, unless its
+// cause is ErrStopping. The caller then receives what is known at that time.
 func (d *Dispatcher) Run(ctx context.Context, r Request) Outcome {
 	now := d.o.Timer.Now()
 	deadline := r.Deadline.Add(-r.NetworkDelay - answerMargin)
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -184,10 +184,9 @@
 			wake.Stop()
 			wake = j.d.o.Timer.After(j.nextWakeup(now).Sub(now))
 		case <-caller.Done():
+			now = j.d.o.Timer.Now()
+			out = j.cancelledOutcome(context.Cause(caller), now)
 			j.cancel()
-			out = Failure{
-				Code: classifier.Cancelled,
-			}
 			continue
 		}
 		out = j.outcome(now)
--- a/internal/dispatcher/outcome.go
+++ b/internal/dispatcher/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"slices"
 	"time"
 
@@ -48,6 +49,20 @@
 	}
 }
 
+// cancelledOutcome returns the outcome of a job whose caller's context was cancelled with the given cause.
+func (j *job) cancelledOutcome(cause error, now time.Time) Outcome {
+	switch {
+	case !errors.Is(cause, ErrStopping):
+		return Failure{
+			Code: classifier.Cancelled,
+		}
+	case j.fanout != nil && j.succeeded >= j.minShards:
+		return j.merge(now)
+	default:
+		return j.endWithFailure(now, classifier.Timeout)
+	}
+}
+
 // firstFailureCode returns the code of the first shard that failed.
 func (j *job) firstFailureCode() classifier.Code {
 	for i := range j.shards {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -33,7 +33,7 @@
 	AvailabilityZone string
 	// BalancerDelay is how long the load balancer may still send requests after the VM reports that it is not ready.
 	BalancerDelay time.Duration
-	// DrainTimeout limits the wait for running requests.
+	// DrainTimeout limits the wait for running requests, which begins when BalancerDelay has elapsed.
 	DrainTimeout time.Duration
 	Board        *blackboard.Board
 	Timer        *timer.Service
@@ -49,7 +49,8 @@
 	ReleaseReplicas func(ctx context.Context)
 	// PublishDeparture announces to the other VMs that this one holds no replicas and is leaving.
 	PublishDeparture func(ctx context.Context)
-	// WaitRequests returns when no request is running or ctx is done. It returns an error if requests were interrupted.
+	// WaitRequests returns when no request is running or ctx is done. It returns an error if requests were interrupted. It runs
+	// beside ReleaseReplicas and PublishDeparture, so that a platform that does not answer takes no time from the requests.
 	WaitRequests func(ctx context.Context) error
 	// CloseConnections closes idle keep-alive connections and the peer server.
 	CloseConnections func(ctx context.Context)
@@ -149,8 +150,8 @@
 	d.log.Info().Str("Phase", string(p)).Msg("The lifecycle phase changed.")
 }
 
-// Shutdown reports that the VM is not ready, waits for the load balancer, stops the listener, releases the replicas, publishes
-// the departure, waits for the running requests and closes the connections. Further calls only wait for the first one to finish.
+// Shutdown reports that the VM is not ready, waits for the load balancer, stops the listener, releases the replicas and publishes
+// the departure while it waits for the running requests, and closes the connections. Further calls only wait for the first one to finish.
 // When ctx is done, the waits end early but no step is skipped. The error reports interrupted requests.
 func (d *Drainer) Shutdown(ctx context.Context) error {
 	d.once.Do(func() {
@@ -168,13 +169,17 @@
 	if d.o.StopListener != nil {
 		d.o.StopListener()
 	}
-	callWithTimeout(ctx, StepTimeout, d.o.ReleaseReplicas)
-	callWithTimeout(ctx, StepTimeout, d.o.PublishDeparture)
+	var departure sync.WaitGroup
+	departure.Go(func() {
+		callWithTimeout(ctx, StepTimeout, d.o.ReleaseReplicas)
+		callWithTimeout(ctx, StepTimeout, d.o.PublishDeparture)
+	})
 	if d.o.WaitRequests != nil {
 		callWithTimeout(ctx, d.o.DrainTimeout, func(ctx context.Context) {
 			d.err = d.o.WaitRequests(ctx)
 		})
 	}
+	departure.Wait()
 	d.o.Timer.Sleep(ctx, ResponseReadGrace)
 	callWithTimeout(ctx, StepTimeout, d.o.CloseConnections)
 	d.setPhase(blackboard.PhaseStopped)
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -39,8 +39,9 @@
 	// balancerDelay is how long the load balancer may still send requests after the VM reports that it is not ready. It covers
 	// two probes at an interval of 1 s and the time the balancer needs to react.
 	balancerDelay = 2500 * time.Millisecond
-	// connectionCloseReserve is the part of the grace period that is reserved for closing connections.
-	connectionCloseReserve = time.Second
+	// connectionCloseReserve is the part of the grace period that is reserved for answering the requests that still run and for
+	// closing connections.
+	connectionCloseReserve = 600 * time.Millisecond
 	// lapsedEntryGracePeriod is how long a backend server is used after its entry has been removed from the platform. Servers that
 	// are alive renew a lapsed entry within 2 s.
 	lapsedEntryGracePeriod = 2 * time.Second
@@ -368,7 +369,7 @@
 				g.log.Warn().Err(err).Msg("The listener for callers could not be closed.")
 			}
 		},
-		PublishDeparture: g.enroller.Deregister,
+		PublishDeparture: g.publishDeparture,
 		WaitRequests:     g.waitRequests,
 		CloseConnections: g.closeConnections,
 	})
@@ -384,6 +385,7 @@
 	g.log.Info().Stringer("Callers", g.cfg.CallerAddress).Str("AvailabilityZone", g.cfg.Zone).Msg("The gateway has started.")
 	<-ctx.Done()
 	g.log.Info().Int("Running", g.acceptor.Running()).Msg("The gateway is shutting down.")
+	g.acceptor.SetStopTime(g.timer.Now().Add(g.cfg.GracePeriod - connectionCloseReserve))
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), g.cfg.GracePeriod)
 	defer cancelStop()
 	err = g.drainer.Shutdown(stopCtx)
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -210,20 +210,18 @@
 	g.balancer.RecordProbe(p.endpoint, err == nil, now)
 }
 
-// gatewayDrainPollPeriod is the interval between checks for running requests while the gateway shuts down.
-const gatewayDrainPollPeriod = 20 * time.Millisecond
-
+// waitRequests closes the idle connections of callers and waits until all requests are answered. When ctx is done, it ends the
+// requests that still run, so that each caller receives an answer before the process exits.
 func (g *Gateway) waitRequests(ctx context.Context) error {
-	tick := g.timer.Subscribe(gatewayDrainPollPeriod)
-	defer tick.Stop()
-	for g.acceptor.Running() > 0 {
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("%d requests were interrupted by the shutdown: %w", g.acceptor.Running(), ctx.Err())
-		case <-tick.C:
-		}
+	err := g.acceptor.Shutdown(ctx)
+	if err == nil || errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	running := g.acceptor.EndRequests()
+	if running == 0 {
+		return nil
+	}
+	return fmt.Errorf("%d requests were interrupted by the shutdown: %w", running, err)
 }
 
 func (g *Gateway) closeConnections(ctx context.Context) {
@@ -232,3 +230,13 @@
 		g.log.Warn().Err(err).Msg("Connections of callers did not close before the deadline.")
 	}
 }
+
+// publishDeparture removes this VM from the list of VMs. It gives up in time for the end of the grace period.
+func (g *Gateway) publishDeparture(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
+	defer cancel()
+	g.enroller.Deregister(ctx)
+}
+
+// departureTimeout limits the removal of this VM from the list of VMs. If it fails, the reader of the zone removes the VM later.
+const departureTimeout = time.Second
