Keep the end of use of a removed server when a VM loses its reader

Cause: the grace period of all lapsed entries began again whenever a kind could be read again, also after the loss of the reader of the zone or a single failed watch, neither of which keeps servers from renewing their entries. Change: an outage begins when the platform does not answer this VM itself; only entries that lapse in it or just after it get the grace period again. TestLapsedEntries fails without the condition (server d is used until 24 s instead of 22.5 s); TestLostReaderIsNoOutage is new.

The steps of testdata/lapses.txt for an outage now state its beginning as well, because an outage is no longer assumed for entries that lapsed before it; all expectations of the old steps are unchanged.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -77,7 +77,7 @@
 // Config determines how long a Discoverer keeps servers whose entries are gone.
 type Config struct {
 	// GracePeriod is how long a server is used after its entry disappears. If this happens during an outage of the platform, the
-	// period starts when the platform has recovered.
+	// period starts again when the platform has recovered.
 	GracePeriod time.Duration
 }
 
@@ -85,6 +85,8 @@
 type lapsedEntry struct {
 	server *Server
 	until  time.Time
+	// inOutage is set if the entry may be gone only because the server could not renew it during an outage of the platform.
+	inOutage bool
 }
 
 // Discoverer maintains a View from the platform's lists and changes. It is not safe for concurrent use.
@@ -92,7 +94,10 @@
 	cfg      Config
 	loaded   bool
 	revision uint64
-	servers  map[string]*Server
+	// down is true during an outage of the platform, recoveredAt the end of the last outage.
+	down        bool
+	recoveredAt time.Time
+	servers     map[string]*Server
 	// lapsed contains the servers whose entries are gone and whose grace period is not over, by ID. None of them is in servers.
 	lapsed map[string]lapsedEntry
 }
@@ -106,11 +111,21 @@
 	}
 }
 
-// PlatformRecovered restarts the grace period of all lapsed entries, because servers could not renew them during the outage.
+// PlatformDown records the start of an outage of the platform, during which servers cannot renew their entries.
+func (d *Discoverer) PlatformDown() {
+	d.down = true
+}
+
+// PlatformRecovered records the end of an outage. It restarts the grace period of the entries that have lapsed since the outage
+// began, because their servers could not renew them. Servers that were removed before are used no longer than without the outage.
 func (d *Discoverer) PlatformRecovered(now time.Time) {
+	d.down = false
+	d.recoveredAt = now
 	for id, l := range d.lapsed {
-		l.until = now.Add(d.cfg.GracePeriod)
-		d.lapsed[id] = l
+		if l.inOutage {
+			l.until = now.Add(d.cfg.GracePeriod)
+			d.lapsed[id] = l
+		}
 	}
 }
 
@@ -150,8 +165,9 @@
 	delete(d.servers, id)
 	if !s.Draining {
 		d.lapsed[id] = lapsedEntry{
-			server: s,
-			until:  now.Add(d.cfg.GracePeriod),
+			server:   s,
+			until:    now.Add(d.cfg.GracePeriod),
+			inOutage: d.down || now.Sub(d.recoveredAt) < d.cfg.GracePeriod,
 		}
 	}
 }
--- a/internal/discoverer/discoverer_test.go
+++ b/internal/discoverer/discoverer_test.go
@@ -13,7 +13,7 @@
 )
 
 // Guards against running servers that are removed during an outage of the platform, against stopped servers that are used for
-// longer than the grace period, and against requests to draining servers.
+// longer than the grace period, also around an outage that begins after they have stopped, and against requests to draining servers.
 func TestLapsedEntries(t *testing.T) {
 	data, err := os.ReadFile("testdata/lapses.txt")
 	assert.NilError(t, err)
@@ -47,6 +47,8 @@
 				list = append(list, put(id, false))
 			}
 			d.Replace(now, revision, list)
+		case "down":
+			d.PlatformDown()
 		case "recovered":
 			d.PlatformRecovered(now)
 		case "want":
--- a/internal/syncer/changelog.go
+++ b/internal/syncer/changelog.go
@@ -21,7 +21,9 @@
 	Replace(b storeclient.Batch)
 	// Apply updates the objects by the changes b, which follow the last call of Replace or Apply.
 	Apply(b storeclient.Batch)
-	// PlatformRecovered is called when the platform answers again after an outage.
+	// PlatformDown is called when an outage of the platform begins: it does not answer this VM.
+	PlatformDown()
+	// PlatformRecovered is called when the kind has been read again after an outage.
 	PlatformRecovered()
 }
 
@@ -31,11 +33,14 @@
 	kind string
 	sink Sink
 
-	mu           sync.Mutex
-	synced       bool
+	mu     sync.Mutex
+	synced bool
+	// platformDown is set when the kind could not be read by the last call, or when the source cannot read it.
 	platformDown bool
-	revision     uint64
-	objects      map[string]storeclient.Item
+	// outage is set when the platform does not answer this VM itself. It implies platformDown.
+	outage   bool
+	revision uint64
+	objects  map[string]storeclient.Item
 	// history contains the most recent changes, the oldest first. baseRevision is the revision of the log before the first of them.
 	history      []storeclient.Batch
 	baseRevision uint64
@@ -158,20 +163,37 @@
 	return l.platformDown
 }
 
-// SetPlatformDown records whether the platform is down, and informs the sink when an outage ends.
+// SetPlatformDown records whether the kind can be read, and informs the sink when an outage ends.
 func (l *ChangeLog) SetPlatformDown(platformDown bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.outage && !platformDown {
+		l.outage = false
+		l.sink.PlatformRecovered()
+	}
 	if l.platformDown == platformDown {
 		return
 	}
 	l.platformDown = platformDown
-	if !platformDown {
-		l.sink.PlatformRecovered()
-	}
 	l.notify()
 }
 
+// StartOutage records that the platform does not answer this VM itself, and informs the sink. A VM that loses only its source does
+// not know of an outage: the platform may have gone on to remove entries.
+func (l *ChangeLog) StartOutage() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.outage {
+		return
+	}
+	l.outage = true
+	l.sink.PlatformDown()
+	if !l.platformDown {
+		l.platformDown = true
+		l.notify()
+	}
+}
+
 // Update contains the changes that another VM is missing, or the whole list.
 type Update struct {
 	messenger.FollowUpdate
--- a/internal/syncer/sinks.go
+++ b/internal/syncer/sinks.go
@@ -18,15 +18,18 @@
 	"github.com/anvildyke/anvildyke/internal/timer"
 )
 
-// ignoreRecovery is embedded by sinks that do not depend on whether the platform is down: their objects stay in force.
-type ignoreRecovery struct{}
+// ignoreOutages is embedded by sinks that do not depend on whether the platform is down: their objects stay in force.
+type ignoreOutages struct{}
+
+// PlatformDown implements Sink. It does nothing.
+func (ignoreOutages) PlatformDown() {}
 
 // PlatformRecovered implements Sink. It does nothing.
-func (ignoreRecovery) PlatformRecovered() {}
+func (ignoreOutages) PlatformRecovered() {}
 
 // ConfigSink is the Sink that installs configurations. It never replaces a configuration by an older version.
 type ConfigSink struct {
-	ignoreRecovery
+	ignoreOutages
 	Board  *blackboard.Gateway
 	Decode func(name string, value []byte) (router.Config, error)
 	Log    zerolog.Logger
@@ -109,7 +112,14 @@
 	s.publish()
 }
 
-// PlatformRecovered restarts the grace period of lapsed entries.
+// PlatformDown records that an outage of the platform begins.
+func (s *ServerSink) PlatformDown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.discoverer.PlatformDown()
+}
+
+// PlatformRecovered restarts the grace period of entries that have lapsed in the outage.
 func (s *ServerSink) PlatformRecovered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -165,7 +175,7 @@
 
 // EvacuationSink is the Sink that maintains the set of evacuated zones. The name of an object is the name of the zone.
 type EvacuationSink struct {
-	ignoreRecovery
+	ignoreOutages
 	Board *blackboard.Gateway
 	Log   zerolog.Logger
 }
@@ -197,7 +207,7 @@
 
 // VMSink is the Sink that maintains the list of entry VMs.
 type VMSink struct {
-	ignoreRecovery
+	ignoreOutages
 	Board *blackboard.Gateway
 	Log   zerolog.Logger
 	// OnChange is called after each change with the number of VMs, at least 1.
@@ -260,7 +270,7 @@
 
 // RolloutSink is the Sink that maintains the orders to move a service to another version.
 type RolloutSink struct {
-	ignoreRecovery
+	ignoreOutages
 	Decode func(item storeclient.Item) (blackboard.MoveOrder, error)
 	// OnChange is called after each change with the revision and all orders, keyed by the names of their objects.
 	OnChange func(revision uint64, orders map[string]blackboard.MoveOrder)
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -213,7 +213,7 @@
 			s.readKinds(ctx)
 			continue
 		}
-		s.setPlatformDown(true)
+		s.startOutage()
 		if now := s.o.Timer.Now(); now.Sub(lastPeerSync) >= peerSyncInterval {
 			lastPeerSync = now
 			s.syncFromPeers(ctx)
@@ -311,6 +311,9 @@
 			// The result of the first ping is not used here, but recorded in pingFailed, which the other VMs query in
 			// suspectCutOffReaders to find out which readers the platform does not answer.
 			answered := s.ping(ctx)
+			if !answered && ctx.Err() == nil {
+				s.startOutage()
+			}
 			if downReplies++; downReplies > 1 && answered {
 				s.o.Log.Info().Str("Source", vm.Name).Bool("Synced", reply.Synced).Msg("The source of objects cannot reach the platform, but this VM can.")
 				s.markSuspect(vm.Name, suspectDuration)
@@ -354,3 +357,11 @@
 		l.SetPlatformDown(platformDown)
 	}
 }
+
+// startOutage records for Source and in the logs of all kinds that the platform does not answer this VM itself.
+func (s *Syncer) startOutage() {
+	s.recordPlatformState(true)
+	for _, l := range s.o.Logs {
+		l.StartOutage()
+	}
+}
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -222,7 +222,8 @@
 type recordingSink struct {
 	mu     sync.Mutex
 	values map[string]string
-	// recoveries counts the calls of PlatformRecovered.
+	// outages counts the calls of PlatformDown, recoveries those of PlatformRecovered.
+	outages    int
 	recoveries int
 }
 
@@ -245,6 +246,12 @@
 	}
 }
 
+func (s *recordingSink) PlatformDown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outages++
+}
+
 func (s *recordingSink) PlatformRecovered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -360,6 +367,40 @@
 	waitForValue(t, sinks, "2")
 }
 
+// The platform stops answering the reader of a zone, and later all VMs. Guards against VMs that take the loss of their reader for an
+// outage: servers that had been removed before were once used for up to 2 s longer (review case 2).
+func TestLostReaderIsNoOutage(t *testing.T) {
+	p := newPlatform()
+	p.put(kindObject, "a", "1")
+	sinks := startVMs(t, p, 3)
+	waitForValue(t, sinks, "1")
+	reader := hasher.Rank("follower", []string{"vm-0", "vm-1", "vm-2"})[0]
+	p.setSilent(reader)
+	p.put(kindObject, "a", "2")
+	waitForValue(t, sinks, "2")
+	for vm, s := range sinks {
+		if vm != reader {
+			s.mu.Lock()
+			assert.Check(t, s.outages == 0 && s.recoveries == 0, "%s: %d outages, %d recoveries", vm, s.outages, s.recoveries)
+			s.mu.Unlock()
+		}
+	}
+	for vm := range sinks {
+		p.setSilent(vm)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for vm, s := range sinks {
+			s.mu.Lock()
+			n := s.outages
+			s.mu.Unlock()
+			if n == 0 {
+				return poll.Continue("%s knows of no outage", vm)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+}
+
 // The platform stops answering a third of all VMs, and in one zone these include all VMs that come first in reader order. Guards
 // against VMs that try these readers one after the other: trying five of them once took 5 s, so that a configuration came into
 // force too late.
