Date the removal of a server by the last time at which the list was current

Cause: the grace period began when a VM learned of the removal. Change: each log of changes knows when it last contained all changes, also on VMs that follow a reader; the grace period begins then.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -76,7 +76,8 @@
 
 // Config determines how long a Discoverer keeps servers whose entries are gone.
 type Config struct {
-	// GracePeriod is how long a server is used after its entry disappears. If this happens during an outage of the platform, the
+	// GracePeriod is how long a server is used after its entry disappears. It begins at the last time at which the list was known to
+	// be current, since the entry may have disappeared at any time after that. If this happens during an outage of the platform, the
 	// period starts again when the platform has recovered.
 	GracePeriod time.Duration
 }
@@ -97,7 +98,9 @@
 	// down is true during an outage of the platform, recoveredAt the end of the last outage.
 	down        bool
 	recoveredAt time.Time
-	servers     map[string]*Server
+	// currentAt is the last time at which the list was known to contain all changes, the zero time if that is unknown.
+	currentAt time.Time
+	servers   map[string]*Server
 	// lapsed contains the servers whose entries are gone and whose grace period is not over, by ID. None of them is in servers.
 	lapsed map[string]lapsedEntry
 }
@@ -129,6 +132,13 @@
 	}
 }
 
+// Current records that the list contained all changes up to the time at.
+func (d *Discoverer) Current(at time.Time) {
+	if at.After(d.currentAt) {
+		d.currentAt = at
+	}
+}
+
 // Replace replaces all entries by the list at a revision. Servers that are not on the list lapse unless they were draining.
 func (d *Discoverer) Replace(now time.Time, revision uint64, list []Change) {
 	listed := make(map[string]struct{}, len(list))
@@ -163,11 +173,19 @@
 		return
 	}
 	delete(d.servers, id)
-	if !s.Draining {
+	if s.Draining {
+		return
+	}
+	inOutage := d.down || now.Sub(d.recoveredAt) < d.cfg.GracePeriod
+	goneSince := now
+	if !inOutage && !d.currentAt.IsZero() {
+		goneSince = d.currentAt
+	}
+	if until := goneSince.Add(d.cfg.GracePeriod); until.After(now) {
 		d.lapsed[id] = lapsedEntry{
 			server:   s,
-			until:    now.Add(d.cfg.GracePeriod),
-			inOutage: d.down || now.Sub(d.recoveredAt) < d.cfg.GracePeriod,
+			until:    until,
+			inOutage: inOutage,
 		}
 	}
 }
--- a/internal/discoverer/discoverer_test.go
+++ b/internal/discoverer/discoverer_test.go
@@ -13,7 +13,8 @@
 )
 
 // Guards against running servers that are removed during an outage of the platform, against stopped servers that are used for
-// longer than the grace period, also around an outage that begins after they have stopped, and against requests to draining servers.
+// longer than the grace period, also around an outage that begins after they have stopped or if their removal is learned late, and
+// against requests to draining servers.
 func TestLapsedEntries(t *testing.T) {
 	data, err := os.ReadFile("testdata/lapses.txt")
 	assert.NilError(t, err)
@@ -47,6 +48,8 @@
 				list = append(list, put(id, false))
 			}
 			d.Replace(now, revision, list)
+		case "current":
+			d.Current(now)
 		case "down":
 			d.PlatformDown()
 		case "recovered":
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -433,7 +433,9 @@
 	Away bool
 	// TurnedAway is set if the platform did not answer the last ping of the replying VM itself.
 	TurnedAway bool
-	Updates    []FollowUpdate
+	// Age is the time since the replying VM's objects were known to contain all changes. It is negative while that is unknown.
+	Age     time.Duration
+	Updates []FollowUpdate
 	// Conditions contains the health of backend servers, derived from the observations of all VMs of the zone.
 	Conditions []balancer.ServerHealth
 	// Share is the fraction of the zone's extra attempts that the receiver of this reply may make. It is 0 while it
--- a/internal/syncer/changelog.go
+++ b/internal/syncer/changelog.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/anvildyke/anvildyke/internal/blackboard"
 	"github.com/anvildyke/anvildyke/internal/messenger"
@@ -25,6 +26,8 @@
 	PlatformDown()
 	// PlatformRecovered is called when the kind has been read again after an outage.
 	PlatformRecovered()
+	// Current is called when the objects are known to contain all changes up to the time at.
+	Current(at time.Time)
 }
 
 // ChangeLog holds the objects of one kind and their most recent changes, and passes them to a sink and to other VMs. Its methods
@@ -38,9 +41,11 @@
 	// platformDown is set when the kind could not be read by the last call, or when the source cannot read it.
 	platformDown bool
 	// outage is set when the platform does not answer this VM itself. It implies platformDown.
-	outage   bool
-	revision uint64
-	objects  map[string]storeclient.Item
+	outage bool
+	// currentAt is the last time at which the objects were known to contain all changes, the zero time if that is unknown.
+	currentAt time.Time
+	revision  uint64
+	objects   map[string]storeclient.Item
 	// history contains the most recent changes, the oldest first. baseRevision is the revision of the log before the first of them.
 	history      []storeclient.Batch
 	baseRevision uint64
@@ -194,6 +199,23 @@
 	}
 }
 
+// MarkCurrent records that the log contains all changes up to the time at.
+func (l *ChangeLog) MarkCurrent(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at.After(l.currentAt) {
+		l.currentAt = at
+		l.sink.Current(at)
+	}
+}
+
+// CurrentAt returns the last time at which the log was known to contain all changes, the zero time if that is unknown.
+func (l *ChangeLog) CurrentAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.currentAt
+}
+
 // Update contains the changes that another VM is missing, or the whole list.
 type Update struct {
 	messenger.FollowUpdate
--- a/internal/syncer/peers.go
+++ b/internal/syncer/peers.go
@@ -185,6 +185,7 @@
 		s.addLoad(req.From, req.Load, s.o.Timer.Now())
 		defer func() {
 			now := s.o.Timer.Now()
+			reply.Age = s.age(now)
 			reply.Conditions = s.o.Balancer.ZoneHealth(now)
 			reply.Share = s.share(req.From, now)
 		}()
--- a/internal/syncer/platformreader.go
+++ b/internal/syncer/platformreader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,7 +17,7 @@
 	// watchWait is how long a watch waits for changes. Keep-alive probes detect a connection on which the platform has stopped
 	// responding sooner than this; a watch that the platform has lost ends after this time.
 	watchWait = 5 * time.Second
-	// recoveryWait is the wait of a watch while the platform is down. It is the shortest wait that the platform's API can express.
+	// recoveryWait is the wait of a watch until the kind is up to date. It is the shortest wait that the platform's API can express.
 	recoveryWait = time.Millisecond
 	// callTimeout is the timeout of a call, and for watches the time that a reply may take beyond the wait.
 	callTimeout = 1200 * time.Millisecond
@@ -39,6 +40,9 @@
 	platformDown bool
 	downSince    time.Time
 	backoff      time.Duration
+	// upToDate is set while the last call has succeeded and its result was applied, so that a waiting watch delivers all further
+	// changes.
+	upToDate atomic.Bool
 }
 
 // run syncs the kind until ctx is cancelled. It reads the whole list unless the log is already synced, and reads it again each
@@ -47,6 +51,7 @@
 	revision, synced := r.changes.Revision()
 	for ctx.Err() == nil {
 		if !synced {
+			sent := r.timer.Now()
 			call, cancel := context.WithTimeout(ctx, listTimeout)
 			b, err := r.source.ListKind(call, r.changes.kind, false)
 			cancel()
@@ -54,6 +59,7 @@
 				continue
 			}
 			r.changes.Replace(b)
+			r.markUpToDate(sent)
 			revision = b.Revision
 		}
 		r.watch(ctx, revision)
@@ -66,14 +72,16 @@
 func (r *platformReader) watch(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
 		wait := watchWait
-		if r.platformDown {
-			// With watchWait, the first watch after the outage would return only with the next change or after that wait.
+		if !r.upToDate.Load() {
+			// With watchWait, the first watch would return only with the next change or after that wait.
 			wait = recoveryWait
 		}
+		sent := r.timer.Now()
 		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
 		b, err := r.source.WatchKind(call, r.changes.kind, revision, wait)
 		cancel()
 		if errors.Is(err, storeclient.ErrHistoryGone) {
+			r.upToDate.Store(false)
 			r.log.Info().Str("Kind", r.changes.kind).Uint64("Revision", revision).Msg("The history of changes is no longer available; the whole list is read again.")
 			return
 		}
@@ -83,6 +91,7 @@
 		if !r.changes.Apply(revision, b) {
 			return
 		}
+		r.markUpToDate(sent)
 		revision = b.Revision
 		if len(b.Items) > 0 {
 			r.timer.Sleep(ctx, batchDelay)
@@ -90,6 +99,12 @@
 	}
 }
 
+// markUpToDate records that the result of a call that was sent at a time has been applied.
+func (r *platformReader) markUpToDate(sent time.Time) {
+	r.changes.MarkCurrent(sent)
+	r.upToDate.Store(true)
+}
+
 // handleResult records the result of a call, and pauses after a failure. It reports whether the call succeeded.
 func (r *platformReader) handleResult(ctx context.Context, err error) bool {
 	now := r.timer.Now()
@@ -105,6 +120,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	r.upToDate.Store(false)
 	if !r.platformDown {
 		r.platformDown = true
 		r.downSince = now
--- a/internal/syncer/sinks.go
+++ b/internal/syncer/sinks.go
@@ -27,6 +27,9 @@
 // PlatformRecovered implements Sink. It does nothing.
 func (ignoreOutages) PlatformRecovered() {}
 
+// Current implements Sink. It does nothing.
+func (ignoreOutages) Current(time.Time) {}
+
 // ConfigSink is the Sink that installs configurations. It never replaces a configuration by an older version.
 type ConfigSink struct {
 	ignoreOutages
@@ -126,6 +129,13 @@
 	s.discoverer.PlatformRecovered(s.timer.Now())
 }
 
+// Current records that the list of servers contains all changes up to the time at.
+func (s *ServerSink) Current(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.discoverer.Current(at)
+}
+
 // Expire removes servers whose grace period is over.
 func (s *ServerSink) Expire(now time.Time) {
 	s.mu.Lock()
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -230,6 +230,7 @@
 func (s *Syncer) readKinds(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
+	readers := make([]*platformReader, 0, len(s.o.Logs))
 	for _, l := range s.o.Logs {
 		r := &platformReader{
 			changes:      l,
@@ -239,6 +240,7 @@
 			platformDown: l.PlatformDown(),
 			downSince:    s.o.Timer.Now(),
 		}
+		readers = append(readers, r)
 		wg.Go(func() {
 			r.run(ctx)
 		})
@@ -253,10 +255,16 @@
 			return
 		case <-ticker.C:
 		}
+		pinged := s.o.Timer.Now()
 		if s.source().Name != s.o.Name || !s.ping(ctx) {
 			return
 		}
 		s.recordPlatformState(false)
+		for _, r := range readers {
+			if r.upToDate.Load() {
+				r.changes.MarkCurrent(pinged)
+			}
+		}
 		now := s.o.Timer.Now()
 		s.addLoad(s.o.Name, s.o.Budgeter.FirstAttempts(now), now)
 		s.applyShare(s.share(s.o.Name, now), now)
@@ -323,8 +331,9 @@
 			continue
 		}
 		downReplies = 0
-		s.applyReply(reply)
 		s.setPlatformDown(false)
+		s.applyReply(reply)
+		s.markCurrent(reply.Age)
 		s.pingFailed.Store(false)
 		if s.source().Name != vm.Name {
 			return
@@ -365,3 +374,30 @@
 		l.StartOutage()
 	}
 }
+
+// markCurrent records that the source's objects, which this VM has received now, contain all changes up to the given age. A negative
+// age is unknown.
+func (s *Syncer) markCurrent(age time.Duration) {
+	if age < 0 {
+		return
+	}
+	at := s.o.Timer.Now().Add(-age)
+	for _, l := range s.o.Logs {
+		l.MarkCurrent(at)
+	}
+}
+
+// age returns the time since the objects of all kinds were known to contain all changes, or a negative number if that is unknown.
+func (s *Syncer) age(now time.Time) time.Duration {
+	oldest := now
+	for _, l := range s.o.Logs {
+		at := l.CurrentAt()
+		if at.IsZero() {
+			return -1
+		}
+		if at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return now.Sub(oldest)
+}
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -225,6 +225,9 @@
 	// outages counts the calls of PlatformDown, recoveries those of PlatformRecovered.
 	outages    int
 	recoveries int
+	// currentAt is the last time that Current has received, and currentAtChange its value at the last call of Apply.
+	currentAt       time.Time
+	currentAtChange time.Time
 }
 
 func (s *recordingSink) Replace(b storeclient.Batch) {
@@ -237,6 +240,7 @@
 func (s *recordingSink) Apply(b storeclient.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.currentAtChange = s.currentAt
 	for _, item := range b.Items {
 		if item.Deleted {
 			delete(s.values, item.Name)
@@ -252,6 +256,12 @@
 	s.outages++
 }
 
+func (s *recordingSink) Current(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.currentAt = at
+}
+
 func (s *recordingSink) PlatformRecovered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -401,6 +411,31 @@
 	}, poll.WithTimeout(30*time.Second))
 }
 
+// The reader of a zone stops responding just before a change. Guards against VMs that date a change by the time at which they learn of
+// it: they once used removed servers for 1.2 s longer (review case 4).
+func TestChangeIsNotOlderThanLastContact(t *testing.T) {
+	p := newPlatform()
+	p.put(kindObject, "a", "1")
+	sinks, network := startVMsExcept(t, p, 3)
+	waitForValue(t, sinks, "1")
+	// Several exchanges with the reader and pings of the platform.
+	time.Sleep(2 * time.Second)
+	names := []string{"vm-0", "vm-1", "vm-2"}
+	reader := hasher.Rank("follower", names)[0]
+	network.mu.Lock()
+	network.unresponsive[netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(slices.Index(names, reader))}), 80)] = true
+	network.mu.Unlock()
+	changed := time.Now()
+	p.put(kindObject, "a", "2")
+	waitForValue(t, sinks, "2")
+	for vm, s := range sinks {
+		s.mu.Lock()
+		at := s.currentAtChange
+		s.mu.Unlock()
+		assert.Check(t, !at.After(changed) && changed.Sub(at) < 5*time.Second, "%s: current %v before the change", vm, changed.Sub(at))
+	}
+}
+
 // The platform stops answering a third of all VMs, and in one zone these include all VMs that come first in reader order. Guards
 // against VMs that try these readers one after the other: trying five of them once took 5 s, so that a configuration came into
 // force too late.
