Choose the server of each later attempt from the current lists

Cause: a request took the list of servers, the evacuated zones and the shares of moves once, and later attempts chose from these copies. Change: the servers are determined again before a later attempt if a list has changed. The set of shards of a search doesn't change. TestLaterAttemptsUseCurrentLists failed before the change (6 of 10 duplicates went to a server that had been removed) and passes, also for evacuated zones.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -160,12 +160,9 @@
 		}
 	}
 	j := &job{
-		d:         d,
-		request:   r,
-		view:      d.o.Board.Servers.Read(),
-		evacuated: d.o.Board.EvacuatedZones.Read(),
-		shifts:    d.o.Board.TrafficShifts.Read(),
-		deadline:  deadline,
+		d:        d,
+		request:  r,
+		deadline: deadline,
 	}
 	j.plan()
 	// Attempts may outlive the answer to the caller, so they use a context that does not derive from ctx.
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -114,6 +114,7 @@
 func (discardObserver) Observe(string, string, string, classifier.Code, time.Duration) {}
 
 type fixture struct {
+	board      *blackboard.Gateway
 	sender     *fakeSender
 	dispatcher *dispatcher.Dispatcher
 	route      *router.Route
@@ -178,6 +179,7 @@
 	})
 	board := &blackboard.Gateway{}
 	board.Servers.Write(view)
+	f.board = board
 	f.dispatcher = dispatcher.New(dispatcher.Options{
 		Board: board,
 		Balancer: balancer.New(balancer.Config{
@@ -367,3 +369,68 @@
 	}
 	assert.Assert(t, f.sender.sent["2a"] <= 1 && f.sender.sent["2b"] <= 1, "%v", f.sender.sent)
 }
+
+// The servers of a service are slow, and one of them leaves while requests run. Guards against hedges and retries to servers that are
+// no longer listed, or whose zone is evacuated, at the time of the attempt (review case 3).
+func TestLaterAttemptsUseCurrentLists(t *testing.T) {
+	for _, change := range []string{"removed", "evacuated"} {
+		t.Run(change, func(t *testing.T) {
+			for range 10 {
+				f := newFixture("single", []string{"0a=silent", "0b=silent", "0c=silent"})
+				ctx, cancel := context.WithCancel(context.Background())
+				var wg sync.WaitGroup
+				wg.Go(func() {
+					f.send(ctx)
+				})
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					if f.sender.total(f.sender.sent) == 0 {
+						return poll.Continue("no attempt yet")
+					}
+					return poll.Success()
+				}, poll.WithDelay(time.Millisecond))
+				f.sender.mu.Lock()
+				left := "0a"
+				if f.sender.sent[left] > 0 {
+					left = "0b"
+				}
+				f.sender.mu.Unlock()
+				f.takeAway(left, change == "evacuated")
+				wg.Wait()
+				cancel()
+				f.sender.mu.Lock()
+				assert.Check(t, f.sender.sent[left] == 0, "%s was used after it had been %s: %v", left, change, f.sender.sent)
+				f.sender.mu.Unlock()
+				assert.Check(t, f.sender.total(f.sender.sent) == 2, "%v", f.sender.sent)
+			}
+		})
+	}
+}
+
+// takeAway removes a server of the first shard from the list, or evacuates its zone, to which it is moved before.
+func (f *fixture) takeAway(id string, evacuate bool) {
+	old := f.board.Servers.Read()
+	view := &discoverer.View{
+		Loaded:    true,
+		Revision:  old.Revision + 1,
+		ByService: map[string][]discoverer.Endpoint{},
+	}
+	for _, e := range old.ByService["s0"] {
+		if e.ID == id {
+			if !evacuate {
+				continue
+			}
+			s := *e.Server
+			s.Zone = "south"
+			e.Server = &s
+		}
+		view.ByService["s0"] = append(view.ByService["s0"], e)
+	}
+	f.board.Servers.Write(view)
+	if evacuate {
+		f.board.EvacuatedZones.Write(&blackboard.EvacuatedZones{
+			Zones: map[string]struct{}{
+				"south": {},
+			},
+		})
+	}
+}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -21,10 +21,13 @@
 
 // shard is the state of a job for one service that the request is sent to.
 type shard struct {
-	service   router.Service
+	service router.Service
+	// endpoints are the servers that the request may be sent to, according to the lists of the job.
 	endpoints []discoverer.Endpoint
 	// preferred are servers of a new version, nil if there are none. One of them gets the first attempt if it is available.
 	preferred []discoverer.Endpoint
+	// draw decides whether a server of a new version is preferred, 0 to 1. It is the same for all attempts.
+	draw float64
 	// tried are the servers to which the request has been sent.
 	tried []discoverer.Key
 	// running is the number of attempts in progress.
@@ -53,8 +56,10 @@
 
 // job executes one request.
 type job struct {
-	d         *Dispatcher
-	request   Request
+	d       *Dispatcher
+	request Request
+	// view, evacuated and shifts are the lists from which the servers of the shards were determined. They are replaced when they
+	// have changed before another attempt: a server may have left since the request arrived.
 	view      *discoverer.View
 	evacuated *blackboard.EvacuatedZones
 	shifts    *blackboard.TrafficShifts
@@ -96,11 +101,9 @@
 		s := &j.shards[i]
 		s.service = j.request.Table.Services[name]
 		s.service.Name = name
-		s.endpoints = j.eligibleEndpoints(name)
-		if shift, ok := j.shifts.ByService[name]; ok {
-			s.endpoints, s.preferred = promoter.SelectServers(shift, s.endpoints, rand.Float64(), j.d.o.Timer.Now())
-		}
+		s.draw = rand.Float64()
 	}
+	j.readLists()
 	j.minShards = len(services)
 	if j.fanout != nil {
 		j.minShards = j.fanout.MinShards()
@@ -113,6 +116,30 @@
 	}
 }
 
+// readLists determines the servers of the shards that have not ended.
+func (j *job) readLists() {
+	board := j.d.o.Board
+	j.view, j.evacuated, j.shifts = board.Servers.Read(), board.EvacuatedZones.Read(), board.TrafficShifts.Read()
+	for i := range j.shards {
+		s := &j.shards[i]
+		if s.succeeded || s.failed {
+			continue
+		}
+		s.endpoints, s.preferred = j.eligibleEndpoints(s.service.Name), nil
+		if shift, ok := j.shifts.ByService[s.service.Name]; ok {
+			s.endpoints, s.preferred = promoter.SelectServers(shift, s.endpoints, s.draw, j.d.o.Timer.Now())
+		}
+	}
+}
+
+// refreshLists determines the servers again if a list has changed.
+func (j *job) refreshLists() {
+	board := j.d.o.Board
+	if j.view != board.Servers.Read() || j.evacuated != board.EvacuatedZones.Read() || j.shifts != board.TrafficShifts.Read() {
+		j.readLists()
+	}
+}
+
 // eligibleEndpoints returns the servers of a service in zones that are not evacuated and in regions that the route allows.
 func (j *job) eligibleEndpoints(service string) []discoverer.Endpoint {
 	all := j.view.ByService[service]
@@ -430,6 +457,7 @@
 		return
 	}
 	code := s.lastCode
+	j.refreshLists()
 	if j.canRetry(s, notRun) && j.d.o.Budgeter.Allow(s.service.Name, budgeter.Retry, now) {
 		if j.start(i, now) {
 			j.d.o.Metrics.Retries.Inc()
@@ -456,6 +484,7 @@
 
 // startDue starts the attempts of shards for which no server was available before, and hedges late attempts.
 func (j *job) startDue(now time.Time) {
+	j.refreshLists()
 	var hedged []string
 	for i := range j.shards {
 		s := &j.shards[i]
