Isolate requests that crash the servers that run them

Cause: the gateway knew of a crash only as a failed attempt of one request. Change: package isolator. A broken connection counts as a crash if the server then refuses connections. After two crashes in sequence equal requests go to one server only, after three they are refused for 10 minutes; an answer of a server clears them. VMs exchange what they have seen within about 1.5 s, and only while there is something to tell. Nothing is computed for a request while no server has crashed.

--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -44,6 +44,7 @@
 	NotSent             Code = 210
 	SnapshotGone        Code = 211
 	ExpiredInQueue      Code = 212
+	Isolated            Code = 213
 )
 
 // Codes of requests with an unknown outcome, which a backend server may have run.
@@ -184,6 +185,11 @@
 		httpStatus:  504,
 		description: "Not run: the deadline passed before the request was sent.",
 	},
+	Isolated: {
+		name:        "Isolated",
+		httpStatus:  503,
+		description: "Not run: equal requests crashed several backend servers in sequence.",
+	},
 	OutcomeUnknown: {
 		name:        "OutcomeUnknown",
 		httpStatus:  504,
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/anvildyke/anvildyke/internal/budgeter"
 	"github.com/anvildyke/anvildyke/internal/classifier"
 	"github.com/anvildyke/anvildyke/internal/discoverer"
+	"github.com/anvildyke/anvildyke/internal/isolator"
 	"github.com/anvildyke/anvildyke/internal/router"
 	"github.com/anvildyke/anvildyke/internal/timer"
 )
@@ -121,6 +122,9 @@
 	Budgeter *budgeter.Budgeter
 	Sender   Sender
 	Observer Observer
+	// Isolator tracks the requests that crash servers. Checker finds out whether a server has crashed.
+	Isolator *isolator.Isolator
+	Checker  *isolator.Checker
 	Timer    *timer.Service
 	Log      zerolog.Logger
 	Metrics  *Metrics
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	"github.com/anvildyke/anvildyke/internal/classifier"
 	"github.com/anvildyke/anvildyke/internal/discoverer"
 	"github.com/anvildyke/anvildyke/internal/dispatcher"
+	"github.com/anvildyke/anvildyke/internal/isolator"
 	"github.com/anvildyke/anvildyke/internal/router"
 	"github.com/anvildyke/anvildyke/internal/timer"
 )
@@ -39,8 +41,13 @@
 	refusesConnection behavior = "down"
 	hangs             behavior = "silent"
 	panics            behavior = "panic"
+	// crashes ends the server, which refuses connections afterwards, when it begins to run a request whose body is poison, and
+	// answers other requests.
+	crashes behavior = "crash"
 )
 
+const poison = "poison"
+
 // pauseDuration is the time for which a server that pauses wants no requests.
 const pauseDuration = 10 * time.Second
 
@@ -49,14 +56,33 @@
 	behaviors map[string]behavior
 
 	mu sync.Mutex
+	// crashed contains the addresses of the servers that have crashed.
+	crashed map[netip.AddrPort]bool
 	// ran and sent count the requests per server. A request that a server rejects counts only as sent.
 	ran  map[string]int
 	sent map[string]int
 }
 
-func (f *fakeSender) Send(ctx context.Context, _ *dispatcher.Request, e discoverer.Endpoint, _ bool) (*fasthttp.Response, dispatcher.Reply, error) {
+// Reach implements isolator.Dialer.
+func (f *fakeSender) Reach(_ context.Context, addr netip.AddrPort) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.crashed[addr] {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
+func (f *fakeSender) Send(ctx context.Context, r *dispatcher.Request, e discoverer.Endpoint, _ bool) (*fasthttp.Response, dispatcher.Reply, error) {
 	b := f.behaviors[e.ID]
 	f.mu.Lock()
+	if b == crashes && f.crashed[e.Address] {
+		b = refusesConnection
+	}
+	if b == crashes && string(r.Body) == poison {
+		f.crashed[e.Address] = true
+		b = resets
+	}
 	f.sent[e.ID]++
 	if b != sheds && b != pauses && b != refusesConnection {
 		f.ran[e.ID]++
@@ -126,6 +152,7 @@
 	f := &fixture{
 		sender: &fakeSender{
 			behaviors: map[string]behavior{},
+			crashed:   map[netip.AddrPort]bool{},
 			ran:       map[string]int{},
 			sent:      map[string]int{},
 		},
@@ -180,6 +207,7 @@
 	board := &blackboard.Gateway{}
 	board.Servers.Write(view)
 	f.board = board
+	crashed := isolator.New(zerolog.Nop())
 	f.dispatcher = dispatcher.New(dispatcher.Options{
 		Board: board,
 		Balancer: balancer.New(balancer.Config{
@@ -193,6 +221,8 @@
 		}, 1),
 		Sender:   f.sender,
 		Observer: discardObserver{},
+		Isolator: crashed,
+		Checker:  isolator.NewChecker(crashed, f.sender, timer.NewWall()),
 		Timer:    timer.NewWall(),
 		Log:      zerolog.Nop(),
 		Metrics:  dispatcher.NewMetrics(prometheus.NewRegistry()),
@@ -201,12 +231,17 @@
 }
 
 func (f *fixture) send(ctx context.Context) (dispatcher.Outcome, time.Duration) {
+	return f.sendBody(ctx, "")
+}
+
+func (f *fixture) sendBody(ctx context.Context, body string) (dispatcher.Outcome, time.Duration) {
 	now := time.Now()
 	out := f.dispatcher.Run(ctx, dispatcher.Request{
 		ID:       "request",
 		Table:    f.table,
 		Route:    f.route,
 		Header:   &fasthttp.RequestHeader{},
+		Body:     []byte(body),
 		Arrived:  now,
 		Deadline: now.Add(2 * time.Second),
 	})
@@ -434,3 +469,41 @@
 		})
 	}
 }
+
+// A request that crashes each server that runs it comes again and again, beside a load of ordinary requests. Guards against a request
+// that is sent to server after server, and against ordinary requests that are refused with it.
+func TestCrashingRequestIsIsolated(t *testing.T) {
+	var servers []string
+	for _, id := range []string{"0a", "0b", "0c", "0d", "0e", "0f"} {
+		servers = append(servers, id+"=crash")
+	}
+	f := newFixture("single", servers)
+	for n := range 6 {
+		out, _ := f.sendBody(context.Background(), poison)
+		if n >= 3 {
+			failure, ok := out.(dispatcher.Failure)
+			assert.Assert(t, ok)
+			assert.Equal(t, failure.Code, classifier.Isolated)
+			assert.Assert(t, failure.RetryAfter > time.Minute)
+		}
+		// Longer than the check of a crashed server takes.
+		time.Sleep(200 * time.Millisecond)
+		for range 10 {
+			out, _ := f.send(context.Background())
+			assert.Equal(t, describe(out), "status-200")
+		}
+	}
+	f.sender.mu.Lock()
+	defer f.sender.mu.Unlock()
+	assert.Equal(t, len(f.sender.crashed), 3)
+}
+
+// Guards against a request that is isolated because servers reset its connections without a crash.
+func TestResetConnectionsIsolateNothing(t *testing.T) {
+	f := newFixture("single", []string{"0a=break", "0b=break", "0c=break"})
+	for range 5 {
+		out, _ := f.send(context.Background())
+		assert.Equal(t, describe(out), "unknown")
+		time.Sleep(200 * time.Millisecond)
+	}
+}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -15,6 +15,7 @@
 	"github.com/anvildyke/anvildyke/internal/budgeter"
 	"github.com/anvildyke/anvildyke/internal/classifier"
 	"github.com/anvildyke/anvildyke/internal/discoverer"
+	"github.com/anvildyke/anvildyke/internal/isolator"
 	"github.com/anvildyke/anvildyke/internal/promoter"
 	"github.com/anvildyke/anvildyke/internal/router"
 )
@@ -64,6 +65,8 @@
 	evacuated *blackboard.EvacuatedZones
 	shifts    *blackboard.TrafficShifts
 	deadline  time.Time
+	// fingerprint identifies requests with the same contents.
+	fingerprint fingerprint
 	// ctx bounds the attempts.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -222,21 +225,51 @@
 	return out
 }
 
+// key identifies the request for the service of a shard in the isolator.
+func (j *job) key(s *shard) isolator.Key {
+	return isolator.NewKey(s.service.Name, j.fingerprint.of(j.request.Header, j.request.Body))
+}
+
+// admission returns how many servers the request may be sent to for a shard.
+func (j *job) admission(s *shard, now time.Time) isolator.Admission {
+	if !j.d.o.Isolator.Active() {
+		return isolator.Free{}
+	}
+	return j.d.o.Isolator.Admit(j.key(s), now)
+}
+
 // failFast marks the shards without a server that may get requests as failed. It returns a Failure if too few shards remain, and
 // nil otherwise.
 func (j *job) failFast(now time.Time) Outcome {
-	listed := 0
+	listed, isolated := 0, 0
+	var isolatedUntil time.Time
 	for i := range j.shards {
 		s := &j.shards[i]
 		if len(s.endpoints) > 0 {
 			listed++
 		}
+		if a, ok := j.admission(s, now).(isolator.Refused); ok {
+			s.failed = true
+			s.lastCode = classifier.Isolated
+			j.failed++
+			isolated++
+			isolatedUntil = a.Until
+			continue
+		}
 		j.failIfUnavailable(s, now)
 	}
 	reachable := len(j.shards) - j.failed
 	if reachable >= j.minShards {
 		return nil
 	}
+	if len(j.shards)-isolated < j.minShards {
+		j.d.o.Metrics.Refused.Inc()
+		j.logDecision(now, "refused").Stringer("Code", classifier.Isolated).Int("Isolated", isolated).Time("Until", isolatedUntil).Msg("The request was refused because equal ones crashed backend servers.")
+		return Failure{
+			Code:       classifier.Isolated,
+			RetryAfter: isolatedUntil.Sub(now),
+		}
+	}
 	out := Failure{
 		Code:       classifier.NoReplica,
 		RetryAfter: noServerRetryAfter,
@@ -342,6 +375,7 @@
 	startedAt := j.d.o.Timer.Now()
 	resp, reply, err := a.send()
 	now := j.d.o.Timer.Now()
+	a.recordSurvival(startedAt, now, reply, err)
 	a.balancerAttempt.End(balancer.AttemptResult{
 		Outcome:    attemptOutcome(reply, err),
 		Load:       reply.Load,
@@ -358,6 +392,21 @@
 	j.results <- r
 }
 
+// recordSurvival records whether the server has survived the request, if that is known. It runs before the result is delivered, so
+// that the job sees it in its next decision.
+func (a *attempt) recordSurvival(startedAt, now time.Time, reply Reply, err error) {
+	j := a.job
+	s := &j.shards[a.shard]
+	switch {
+	case err == nil && !reply.NotRun && !reply.Misdirected:
+		if j.d.o.Isolator.Active() {
+			j.d.o.Isolator.RecordSurvival(j.key(s), now)
+		}
+	case classifier.CodeOf(err) == classifier.ConnectionReset:
+		j.d.o.Checker.ConnectionBroke(a.endpoint.Server, j.key(s), startedAt, now)
+	}
+}
+
 // send sends the request. A panic fails the attempt only; the server may have run the request then.
 func (a *attempt) send() (resp *fasthttp.Response, reply Reply, err error) {
 	j := a.job
@@ -458,7 +507,7 @@
 	}
 	code := s.lastCode
 	j.refreshLists()
-	if j.canRetry(s, notRun) && j.d.o.Budgeter.Allow(s.service.Name, budgeter.Retry, now) {
+	if j.canRetry(s, notRun) && j.mayRepeat(s, now) && j.d.o.Budgeter.Allow(s.service.Name, budgeter.Retry, now) {
 		if j.start(i, now) {
 			j.d.o.Metrics.Retries.Inc()
 			j.logDecision(now, "retry").Str("Service", s.service.Name).Stringer("Cause", code).Int("Tried", len(s.tried)).Msg("The request was retried on another server after a failed attempt.")
@@ -478,6 +527,12 @@
 	return s.maybeRan+s.running < j.request.Route.MaxAttempts && len(s.tried) < maxServersTried
 }
 
+// mayRepeat reports whether the request may be sent to another server of the shard as far as crashes of servers are concerned.
+func (j *job) mayRepeat(s *shard, now time.Time) bool {
+	_, free := j.admission(s, now).(isolator.Free)
+	return free
+}
+
 // maxServersTried limits the servers per shard that a request is sent to. Unlike Route.MaxAttempts, it counts the servers that
 // rejected the request without running it.
 const maxServersTried = 4
@@ -492,7 +547,12 @@
 			continue
 		}
 		if len(s.tried) == 0 {
-			if !j.start(i, now) {
+			switch _, refused := j.admission(s, now).(isolator.Refused); {
+			case refused:
+				s.failed = true
+				s.lastCode = classifier.Isolated
+				j.failed++
+			case !j.start(i, now):
 				j.failIfUnavailable(s, now)
 			}
 			continue
@@ -539,7 +599,7 @@
 func (j *job) hedge(i int, now time.Time) bool {
 	s := &j.shards[i]
 	e, ok := j.selectEndpoint(i, now)
-	if !ok {
+	if !ok || !j.mayRepeat(s, now) {
 		return false
 	}
 	if !j.d.o.Budgeter.Allow(s.service.Name, budgeter.Hedge, now) {
--- /dev/null
+++ b/internal/isolator/exchanger.go
@@ -0,0 +1,130 @@
+package isolator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/anvildyke/anvildyke/internal/blackboard"
+	"github.com/anvildyke/anvildyke/internal/messenger"
+	"github.com/anvildyke/anvildyke/internal/timer"
+)
+
+const (
+	// exchangeInterval is the time between two exchanges of the readers of the zones. Within a zone, reports go with the requests for
+	// updates. A report reaches all VMs within three exchanges.
+	exchangeInterval = 500 * time.Millisecond
+	exchangeTimeout  = 700 * time.Millisecond
+)
+
+// ExchangerOptions are the dependencies of an Exchanger.
+type ExchangerOptions struct {
+	// VM and Zone identify this VM.
+	VM       string
+	Zone     string
+	Isolator *Isolator
+	Board    *blackboard.Gateway
+	// IsReader reports whether this VM reads the platform for its zone.
+	IsReader func() bool
+	// Readers returns the VMs of a zone in the order in which they become its reader.
+	Readers func(zone string) []blackboard.VM
+	Client  messenger.Client
+	Timer   *timer.Service
+	Log     zerolog.Logger
+}
+
+// Exchanger exchanges reports of crashes with the readers of the other zones while there are any.
+type Exchanger struct {
+	o ExchangerOptions
+	// failed counts the failed exchanges with each zone in sequence. After a failure the next exchange goes to another VM of the zone.
+	// Only the goroutine of Run uses it.
+	failed map[string]int
+}
+
+// NewExchanger returns an Exchanger. Run has to be called to start it.
+func NewExchanger(o ExchangerOptions) *Exchanger {
+	return &Exchanger{
+		o:      o,
+		failed: map[string]int{},
+	}
+}
+
+// Run exchanges reports until ctx is done.
+func (x *Exchanger) Run(ctx context.Context) {
+	x.o.Timer.Every(ctx, exchangeInterval, func(now time.Time) {
+		x.o.Isolator.Expire(now)
+		if reports := x.o.Isolator.Reports(now); len(reports) > 0 && x.o.IsReader() {
+			x.exchange(ctx, reports)
+		}
+	})
+}
+
+// zoneExchange is an exchange with a VM of another zone.
+type zoneExchange struct {
+	exchanger *Exchanger
+	vm        blackboard.VM
+	reports   []messenger.CrashReport
+	err       error
+}
+
+func (z *zoneExchange) run(ctx context.Context) {
+	o := z.exchanger.o
+	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var reply messenger.CrashesReply
+	z.err = o.Client.Call(call, z.vm.Address, messenger.MethodCrashes, messenger.CrashesRequest{
+		Reports: z.reports,
+	}, &reply)
+	if z.err == nil {
+		o.Isolator.Merge(reply.Reports, o.Timer.Now())
+	}
+}
+
+func (x *Exchanger) exchange(ctx context.Context, reports []messenger.CrashReport) {
+	zones := map[string]*zoneExchange{}
+	var wg sync.WaitGroup
+	for _, vm := range x.o.Board.VMs.Read().VMs {
+		if _, ok := zones[vm.Zone]; ok || vm.Zone == x.o.Zone {
+			continue
+		}
+		readers := x.o.Readers(vm.Zone)
+		if len(readers) == 0 {
+			continue
+		}
+		z := &zoneExchange{
+			exchanger: x,
+			vm:        readers[x.failed[vm.Zone]%len(readers)],
+			reports:   reports,
+		}
+		zones[vm.Zone] = z
+		wg.Go(func() {
+			z.run(ctx)
+		})
+	}
+	wg.Wait()
+	for zone, z := range zones {
+		if z.err == nil {
+			x.failed[zone] = 0
+			continue
+		}
+		x.failed[zone]++
+		x.o.Log.Info().Str("VM", z.vm.Name).Err(z.err).Msg("A VM did not reply to an exchange of crash reports.")
+	}
+}
+
+// Server serves the RPC method Exchange to other VMs.
+type Server struct {
+	Exchanger *Exchanger
+}
+
+// Exchange merges the reports of the sender and replies with the reports of this VM.
+func (s *Server) Exchange(req messenger.CrashesRequest, reply *messenger.CrashesReply) (err error) {
+	defer messenger.RecoverCall(&err)
+	o := s.Exchanger.o
+	now := o.Timer.Now()
+	reply.Reports = o.Isolator.Reports(now)
+	o.Isolator.Merge(req.Reports, now)
+	return nil
+}
--- /dev/null
+++ b/internal/isolator/isolator.go
@@ -0,0 +1,336 @@
+// Package isolator recognizes requests that crash each backend server that runs them, and isolates them: they are sent to no more
+// servers. The VMs tell each other which requests they have seen run at the crash of a server.
+package isolator
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/anvildyke/anvildyke/internal/messenger"
+)
+
+const (
+	// suspectCrashes is the number of crashes in sequence after which a request gets single attempts only.
+	suspectCrashes = 2
+	// isolationCrashes is the number of crashes in sequence after which a request is sent to no servers.
+	isolationCrashes = 3
+	// isolationTime is how long a request is isolated after its last crash. Then it gets a single attempt.
+	isolationTime = 10 * time.Minute
+	// proofLifetime is how long it is remembered that a server has survived a request. It is longer than reportLifetime, so that a
+	// report of an older crash is recognized as outdated.
+	proofLifetime = time.Minute
+	// reportLifetime is how long a crash is reported to other VMs if it makes no request a suspect. It covers several exchanges.
+	reportLifetime = 5 * time.Second
+	// reportDelay is the time before a crash is reported. Most requests that ran at a crash are answered by another server within
+	// that time, which shows that they did not cause it.
+	reportDelay = 300 * time.Millisecond
+	// maxEntries limits the number of requests that are tracked, and maxSequence the crashes of each.
+	maxEntries  = 2048
+	maxSequence = 8
+	// maxReported limits the number of crashes and proofs in a message.
+	maxReported = 128
+)
+
+// Key identifies requests with the same contents for the same service.
+type Key uint64
+
+// NewKey returns the key of requests with a fingerprint for a service.
+func NewKey(service string, fingerprint uint64) Key {
+	return Key(xxhash.Sum64String(service) ^ fingerprint)
+}
+
+// Admission states how many servers a request may be sent to. It is sealed: Free, Single or Refused.
+type Admission interface{ isAdmission() }
+
+// Free admits a request without a restriction.
+type Free struct{}
+
+// Single admits a request to one server, without retries and hedges.
+type Single struct{}
+
+// Refused admits a request to no server before Until.
+type Refused struct {
+	Until time.Time
+}
+
+func (Free) isAdmission()    {}
+func (Single) isAdmission()  {}
+func (Refused) isAdmission() {}
+
+// Crash is the crash of a server that ran a request.
+type Crash struct {
+	Key Key
+	// Server is the hash of the key of the server's process.
+	Server uint64
+	// Began is the time at which the request was sent to the server, At the time at which its connection broke.
+	Began time.Time
+	At    time.Time
+}
+
+// entry is what is known of the requests with a key.
+type entry struct {
+	// crashes are ordered by time. There is at most one for each process of a server, and all are later than provedAt.
+	crashes []Crash
+	// provedAt is the last time at which a server is known to have survived a request, the zero time if none is known.
+	provedAt time.Time
+	// changedAt is the time of the last change of the entry.
+	changedAt time.Time
+	// wasSuspect is set once the requests have been restricted, so that a proof is told to other VMs.
+	wasSuspect bool
+}
+
+// sequence returns the number of crashes each of which hit a request that was sent after the crash before. Requests that run when
+// several servers crash at the same time are not blamed for each of these crashes.
+func (e *entry) sequence() int {
+	n := 0
+	var last time.Time
+	for _, c := range e.crashes {
+		if n == 0 || !c.Began.Before(last) {
+			n++
+			last = c.At
+		}
+	}
+	return n
+}
+
+// lastCrash returns the time of the last crash, the zero time if there is none.
+func (e *entry) lastCrash() time.Time {
+	if len(e.crashes) == 0 {
+		return time.Time{}
+	}
+	return e.crashes[len(e.crashes)-1].At
+}
+
+// Isolator tracks requests that ran at the crash of a server. Its methods are safe for concurrent use.
+type Isolator struct {
+	log zerolog.Logger
+
+	mu      sync.Mutex
+	entries map[Key]*entry
+	// tracked is the number of entries. It is read without the lock, so that nothing is computed for a request while no server
+	// has crashed.
+	tracked atomic.Int64
+}
+
+// New returns an Isolator that has seen no crash.
+func New(log zerolog.Logger) *Isolator {
+	return &Isolator{
+		log:     log,
+		entries: map[Key]*entry{},
+	}
+}
+
+// Active reports whether any request is tracked. While none is, Admit returns Free for each and RecordSurvival has no effect.
+func (i *Isolator) Active() bool {
+	return i.tracked.Load() > 0
+}
+
+// Admit returns how many servers a request with the key may be sent to.
+func (i *Isolator) Admit(k Key, now time.Time) Admission {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	e, ok := i.entries[k]
+	if !ok {
+		return Free{}
+	}
+	return e.admission(now)
+}
+
+func (e *entry) admission(now time.Time) Admission {
+	n := e.sequence()
+	until := e.lastCrash().Add(isolationTime)
+	switch {
+	case n >= isolationCrashes && now.Before(until):
+		return Refused{
+			Until: until,
+		}
+	case n >= suspectCrashes:
+		return Single{}
+	default:
+		return Free{}
+	}
+}
+
+// RecordCrash records that a server crashed while it ran a request.
+func (i *Isolator) RecordCrash(c Crash, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.add(c, now)
+}
+
+// add records a crash. The caller must hold i.mu.
+func (i *Isolator) add(c Crash, now time.Time) {
+	e := i.entry(c.Key)
+	sameServer := func(known Crash) bool {
+		return known.Server == c.Server
+	}
+	if !c.At.After(e.provedAt) || len(e.crashes) >= maxSequence || slices.ContainsFunc(e.crashes, sameServer) {
+		return
+	}
+	before := e.admission(now)
+	e.crashes = append(e.crashes, c)
+	slices.SortFunc(e.crashes, func(a, b Crash) int {
+		return a.At.Compare(b.At)
+	})
+	e.changedAt = now
+	switch after := e.admission(now).(type) {
+	case Free:
+	case Single:
+		e.wasSuspect = true
+	case Refused:
+		e.wasSuspect = true
+		if _, ok := before.(Refused); !ok {
+			i.log.Warn().Uint64("Key", uint64(c.Key)).Int("Crashes", e.sequence()).Time("Until", after.Until).Msg("Requests are refused because equal ones crashed backend servers.")
+		}
+	}
+	i.evict()
+}
+
+// entry returns the entry of a key, which it creates if necessary. The caller must hold i.mu.
+func (i *Isolator) entry(k Key) *entry {
+	e, ok := i.entries[k]
+	if !ok {
+		e = &entry{}
+		i.entries[k] = e
+		i.tracked.Store(int64(len(i.entries)))
+	}
+	return e
+}
+
+// evict removes the entry that changed longest ago while there are too many. The caller must hold i.mu.
+func (i *Isolator) evict() {
+	for len(i.entries) > maxEntries {
+		var oldest Key
+		var at time.Time
+		for k, e := range i.entries {
+			if at.IsZero() || e.changedAt.Before(at) {
+				oldest, at = k, e.changedAt
+			}
+		}
+		delete(i.entries, oldest)
+	}
+	i.tracked.Store(int64(len(i.entries)))
+}
+
+// RecordSurvival records that a server has answered a request with the key, which shows that the request crashes no servers.
+func (i *Isolator) RecordSurvival(k Key, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if e, ok := i.entries[k]; ok {
+		e.prove(now, now)
+	}
+}
+
+// prove discards the crashes up to the time at.
+func (e *entry) prove(at, now time.Time) {
+	if !at.After(e.provedAt) {
+		return
+	}
+	e.provedAt = at
+	e.changedAt = now
+	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool {
+		return !c.At.After(at)
+	})
+}
+
+// Expire removes what is no longer needed.
+func (i *Isolator) Expire(now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for k, e := range i.entries {
+		lifetime := proofLifetime
+		if len(e.crashes) > 0 {
+			lifetime = 2 * isolationTime
+		}
+		if now.Sub(e.changedAt) > lifetime {
+			delete(i.entries, k)
+		}
+	}
+	i.tracked.Store(int64(len(i.entries)))
+}
+
+// Reports returns what other VMs should know: crashes that make requests suspects, recent crashes of requests that no server has
+// survived, and proofs about former suspects.
+func (i *Isolator) Reports(now time.Time) []messenger.CrashReport {
+	if !i.Active() {
+		return nil
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var reports []messenger.CrashReport
+	for k, e := range i.entries {
+		_, free := e.admission(now).(Free)
+		for _, c := range e.crashes {
+			age := now.Sub(c.At)
+			if free && (age < reportDelay || age > reportLifetime) {
+				continue
+			}
+			reports = append(reports, messenger.CrashReport{
+				Key:    uint64(k),
+				Server: c.Server,
+				Began:  c.Began,
+				At:     c.At,
+			})
+		}
+		if e.wasSuspect && len(e.crashes) == 0 && now.Sub(e.provedAt) < proofLifetime/2 {
+			reports = append(reports, messenger.CrashReport{
+				Key:      uint64(k),
+				At:       e.provedAt,
+				Survived: true,
+			})
+		}
+	}
+	slices.SortFunc(reports, func(a, b messenger.CrashReport) int {
+		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Key, b.Key))
+	})
+	return reports[:min(len(reports), maxReported)]
+}
+
+// maxClockDifference is the largest difference between the clocks of two VMs that a report may show. A report from a later time is
+// dated to the time of its receipt.
+const maxClockDifference = time.Second
+
+// Merge adds the reports of another VM.
+func (i *Isolator) Merge(reports []messenger.CrashReport, now time.Time) {
+	if len(reports) == 0 {
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, r := range reports {
+		if r.At.Sub(now) > maxClockDifference || now.Sub(r.At) > 2*isolationTime {
+			continue
+		}
+		if r.Survived {
+			if e, ok := i.entries[Key(r.Key)]; ok {
+				e.prove(r.At, now)
+			}
+			continue
+		}
+		i.add(Crash{
+			Key:    Key(r.Key),
+			Server: r.Server,
+			Began:  r.Began,
+			At:     r.At,
+		}, now)
+	}
+}
+
+// Isolated returns the number of keys whose requests are refused.
+func (i *Isolator) Isolated(now time.Time) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	n := 0
+	for _, e := range i.entries {
+		if _, ok := e.admission(now).(Refused); ok {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -30,6 +30,7 @@
 	MethodQuery      = "Entry.Query"
 	MethodFollow     = "Feed.Follow"
 	MethodMoves      = "Moves.Exchange"
+	MethodCrashes    = "Crashes.Exchange"
 )
 
 // SubRequest is one sub-request of a batch.
@@ -422,6 +423,8 @@
 	Seen []balancer.Observation
 	// Load is the number of requests that the sender recently sent to services.
 	Load float64
+	// Crashes contains the sender's reports of requests that ran at the crash of a backend server.
+	Crashes []CrashReport
 }
 
 // FollowReply contains the changes of those kinds of objects that have changed.
@@ -438,6 +441,8 @@
 	Updates []FollowUpdate
 	// Conditions contains the health of backend servers, derived from the observations of all VMs of the zone.
 	Conditions []balancer.ServerHealth
+	// Crashes contains the replying VM's reports of requests that ran at the crash of a backend server.
+	Crashes []CrashReport
 	// Share is the fraction of the zone's extra attempts that the receiver of this reply may make. It is 0 while it
 	// is unknown.
 	Share float64
@@ -455,6 +460,31 @@
 	Packed []byte
 }
 
+// CrashReport states that a backend server crashed while it ran a request, or that a server survived the request.
+type CrashReport struct {
+	// Key identifies equal requests for the same service.
+	Key uint64
+	// Survived is set if a server has answered the request at the time At. Server and Began are not set then.
+	Survived bool
+	// Server is the hash of the key of the process that crashed.
+	Server uint64
+	// Began is the time at which the request was sent to the server, At the time at which the connection broke.
+	Began time.Time
+	At    time.Time
+}
+
+// CrashesRequest contains the sender's reports and asks for those of another VM.
+type CrashesRequest struct {
+	Stamp   recorder.Stamp
+	Reports []CrashReport
+}
+
+// CrashesReply contains the reports of the replying VM.
+type CrashesReply struct {
+	Stamp   recorder.Stamp
+	Reports []CrashReport
+}
+
 // MovesRequest contains the sender's reports on the moves between versions and asks for the reports of other VMs.
 type MovesRequest struct {
 	Stamp recorder.Stamp
--- a/internal/messenger/stamps.go
+++ b/internal/messenger/stamps.go
@@ -34,6 +34,8 @@
 func (m *FollowReply) stamp() *recorder.Stamp       { return &m.Stamp }
 func (m *MovesRequest) stamp() *recorder.Stamp      { return &m.Stamp }
 func (m *MovesReply) stamp() *recorder.Stamp        { return &m.Stamp }
+func (m *CrashesRequest) stamp() *recorder.Stamp    { return &m.Stamp }
+func (m *CrashesReply) stamp() *recorder.Stamp      { return &m.Stamp }
 
 // stampMessage sets the stamp of body to the next stamp of this VM.
 func stampMessage(r *recorder.Recorder, body any) {
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -61,14 +61,29 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := p.dialer.DialHTTP(dialCtx, s.Address)
+	c, err := p.open(dialCtx, s.Address)
+	return c, false, err
+}
+
+// open opens a connection and counts it.
+func (p *Pooler) open(ctx context.Context, addr netip.AddrPort) (*connector.HTTPConn, error) {
+	c, err := p.dialer.DialHTTP(ctx, addr)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return c, false, nil
+	return c, nil
+}
+
+// Reach opens a connection to the address and closes it again. The error wraps that of the operating system.
+func (p *Pooler) Reach(ctx context.Context, addr netip.AddrPort) error {
+	c, err := p.open(ctx, addr)
+	if err != nil {
+		return err
+	}
+	return c.Close()
 }
 
 func (p *Pooler) takeIdle(k discoverer.Key, freshOnly bool, now time.Time) *connector.HTTPConn {
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/anvildyke/anvildyke/internal/drainer"
 	"github.com/anvildyke/anvildyke/internal/enroller"
 	"github.com/anvildyke/anvildyke/internal/exporter"
+	"github.com/anvildyke/anvildyke/internal/isolator"
 	"github.com/anvildyke/anvildyke/internal/logger"
 	"github.com/anvildyke/anvildyke/internal/messenger"
 	"github.com/anvildyke/anvildyke/internal/pooler"
@@ -105,9 +106,12 @@
 	balancer      *balancer.Balancer
 	pooler        *pooler.Pooler
 	budgeter      *budgeter.Budgeter
-	serverSink    *syncer.ServerSink
-	acceptor      *acceptor.Acceptor
-	drainer       *drainer.Drainer
+	isolator      *isolator.Isolator
+	// crashes exchanges the reports of the isolator with other zones.
+	crashes    *isolator.Exchanger
+	serverSink *syncer.ServerSink
+	acceptor   *acceptor.Acceptor
+	drainer    *drainer.Drainer
 	// recorder stamps the messages that VMs exchange and the events that they record.
 	recorder   *recorder.Recorder
 	syncer     *syncer.Syncer
@@ -147,6 +151,7 @@
 			FixedAllowance: cfg.RetryExtra,
 		}, initialVMCount),
 	}
+	g.isolator = isolator.New(l.Part("isolator"))
 	g.balancer.SetVMCount(initialVMCount)
 	if cfg.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(cfg.MemoryBytes)))
@@ -162,14 +167,7 @@
 	g.peerServer = messenger.NewServer(g.recorder, l)
 	g.buildPromoter()
 	g.buildSyncer()
-	if err := g.peerServer.Register("Feed", &syncer.FeedServer{
-		Syncer: g.syncer,
-	}); err != nil {
-		return nil, err
-	}
-	if err := g.peerServer.Register("Moves", &promoter.Server{
-		Promoter: g.promoter,
-	}); err != nil {
+	if err := g.registerPeerServices(); err != nil {
 		return nil, err
 	}
 	g.buildAcceptor()
@@ -190,6 +188,21 @@
 	return g, nil
 }
 
+// registerPeerServices registers the receivers of calls by other VMs.
+func (g *Gateway) registerPeerServices() error {
+	return errors.Join(
+		g.peerServer.Register("Feed", &syncer.FeedServer{
+			Syncer: g.syncer,
+		}),
+		g.peerServer.Register("Moves", &promoter.Server{
+			Promoter: g.promoter,
+		}),
+		g.peerServer.Register("Crashes", &isolator.Server{
+			Exchanger: g.crashes,
+		}),
+	)
+}
+
 func (g *Gateway) sourceStatus() reporter.SourceStatus {
 	name, answers, at := g.syncer.Source()
 	return reporter.SourceStatus{
@@ -217,6 +230,9 @@
 	g.exporter.Gauge("config_version", "Version of the configuration in force.", func() float64 {
 		return float64(g.board.Routes.Read().Version)
 	})
+	g.exporter.Gauge("isolated_requests", "Contents of requests that are refused because they crashed backend servers.", func() float64 {
+		return float64(g.isolator.Isolated(g.timer.Now()))
+	})
 	g.exporter.Gauge("vms", "Entry VMs on the platform's list.", func() float64 {
 		return float64(len(g.board.VMs.Read().VMs))
 	})
@@ -257,10 +273,24 @@
 		Board:      g.board,
 		Balancer:   g.balancer,
 		Budgeter:   g.budgeter,
+		Isolator:   g.isolator,
 		Seeds:      g.cfg.Seeds,
 		Timer:      g.timer,
 		Log:        log,
 	})
+	g.crashes = isolator.NewExchanger(isolator.ExchangerOptions{
+		VM:       g.cfg.Name,
+		Zone:     g.cfg.Zone,
+		Isolator: g.isolator,
+		Board:    g.board,
+		IsReader: g.isReader,
+		Readers: func(zone string) []blackboard.VM {
+			return syncer.ReaderOrder(g.board.VMs.Read(), zone)
+		},
+		Client: g.peerPool,
+		Timer:  g.timer,
+		Log:    g.logger.Part("isolator"),
+	})
 	g.enroller = enroller.New(enroller.Options{
 		OwnEntry: blackboard.VM{
 			Name:    g.cfg.Name,
@@ -276,11 +306,17 @@
 	})
 }
 
+// readerVM returns the name of the VM that reads the platform for this VM.
+func (g *Gateway) readerVM() string {
+	name, _, _ := g.syncer.Source()
+	return name
+}
+
+func (g *Gateway) isReader() bool {
+	return g.readerVM() == g.cfg.Name
+}
+
 func (g *Gateway) buildPromoter() {
-	readerVM := func() string {
-		name, _, _ := g.syncer.Source()
-		return name
-	}
 	g.promoter = promoter.New(promoter.Options{
 		VM:   g.cfg.Name,
 		Zone: g.cfg.Zone,
@@ -288,12 +324,10 @@
 			Share:     g.cfg.ExposureShare,
 			Tolerance: g.cfg.ExposureTolerance,
 		},
-		Board:    g.board,
-		Outcomes: g.platform.Outcomes,
-		IsReader: func() bool {
-			return readerVM() == g.cfg.Name
-		},
-		ReaderVM:               readerVM,
+		Board:                  g.board,
+		Outcomes:               g.platform.Outcomes,
+		IsReader:               g.isReader,
+		ReaderVM:               g.readerVM,
 		RunningOnOtherVersions: g.balancer.RunningOnOtherVersions,
 		Client:                 g.peerPool,
 		Timer:                  g.timer,
@@ -314,6 +348,8 @@
 				Timer:  g.timer,
 			},
 			Observer: g.promoter,
+			Isolator: g.isolator,
+			Checker:  isolator.NewChecker(g.isolator, g.pooler, g.timer),
 			Timer:    g.timer,
 			Log:      g.logger.RateLimitedPart("dispatcher", g.droppedLines),
 			Metrics:  dispatcher.NewMetrics(g.exporter.Registry()),
--- a/internal/syncer/peers.go
+++ b/internal/syncer/peers.go
@@ -128,6 +128,7 @@
 		now := s.o.Timer.Now()
 		req.Seen = s.o.Balancer.TakeObservations(now)
 		req.Load = s.o.Budgeter.FirstAttempts(now)
+		req.Crashes = s.o.Isolator.Reports(now)
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+longPollGrace)
 	defer cancel()
@@ -135,6 +136,7 @@
 	err := s.o.Client.Call(ctx, addr, messenger.MethodFollow, req, &reply)
 	now := s.o.Timer.Now()
 	s.o.Balancer.ApplyZoneHealth(reply.Conditions, now)
+	s.o.Isolator.Merge(reply.Crashes, now)
 	if reply.Share > 0 {
 		s.applyShare(reply.Share, now)
 	}
@@ -180,12 +182,14 @@
 	defer messenger.RecoverCall(&err)
 	s := f.Syncer
 	s.o.Balancer.AddObservations(req.Seen, s.o.Timer.Now())
+	s.o.Isolator.Merge(req.Crashes, s.o.Timer.Now())
 	if req.Wait > 0 {
 		s.recordContact(req.From)
 		s.addLoad(req.From, req.Load, s.o.Timer.Now())
 		defer func() {
 			now := s.o.Timer.Now()
 			reply.Age = s.age(now)
+			reply.Crashes = s.o.Isolator.Reports(now)
 			reply.Conditions = s.o.Balancer.ZoneHealth(now)
 			reply.Share = s.share(req.From, now)
 		}()
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -18,6 +18,7 @@
 	"github.com/anvildyke/anvildyke/internal/blackboard"
 	"github.com/anvildyke/anvildyke/internal/budgeter"
 	"github.com/anvildyke/anvildyke/internal/hasher"
+	"github.com/anvildyke/anvildyke/internal/isolator"
 	"github.com/anvildyke/anvildyke/internal/messenger"
 	"github.com/anvildyke/anvildyke/internal/storeclient"
 	"github.com/anvildyke/anvildyke/internal/timer"
@@ -66,6 +67,8 @@
 	Balancer *balancer.Balancer
 	// Budgeter receives this VM's share of the extra attempts (retries and hedges) that all VMs together may make.
 	Budgeter *budgeter.Budgeter
+	// Isolator exchanges reports of crashes between the VMs of the zone.
+	Isolator *isolator.Isolator
 	// Seeds contains the peer addresses that are asked for updates while the platform does not answer and no other VM with an
 	// address is on the list of VMs.
 	Seeds []netip.AddrPort
@@ -313,15 +316,7 @@
 		}
 		if reply.Away || !reply.Synced {
 			s.applyReply(reply)
-			s.setPlatformDown(true)
-			// Gives a source that has just become the reader time to read the platform.
-			s.o.Timer.Sleep(ctx, platformDownPause)
-			// The result of the first ping is not used here, but recorded in pingFailed, which the other VMs query in
-			// suspectCutOffReaders to find out which readers the platform does not answer.
-			answered := s.ping(ctx)
-			if !answered && ctx.Err() == nil {
-				s.startOutage()
-			}
+			answered := s.pingAfterSource(ctx)
 			if downReplies++; downReplies > 1 && answered {
 				s.o.Log.Info().Str("Source", vm.Name).Bool("Synced", reply.Synced).Msg("The source of objects cannot reach the platform, but this VM can.")
 				s.markSuspect(vm.Name, suspectDuration)
@@ -341,6 +336,20 @@
 	}
 }
 
+// pingAfterSource finds out whether the platform answers this VM when it does not answer the source, and reports the result. Only if it
+// does not, this is an outage. The result of the first ping is not used by the caller, but recorded in pingFailed, which the other VMs
+// query in suspectCutOffReaders to find out which readers the platform does not answer.
+func (s *Syncer) pingAfterSource(ctx context.Context) bool {
+	s.setPlatformDown(true)
+	// Gives a source that has just become the reader time to read the platform.
+	s.o.Timer.Sleep(ctx, platformDownPause)
+	answered := s.ping(ctx)
+	if !answered && ctx.Err() == nil {
+		s.startOutage()
+	}
+	return answered
+}
+
 // Source returns the name of the VM that this VM syncs from, whether that VM reaches the platform, and the last time at which
 // it was found to reach the platform, the zero time if it never was.
 func (s *Syncer) Source() (name string, answers bool, at time.Time) {
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -19,6 +19,7 @@
 	"github.com/anvildyke/anvildyke/internal/blackboard"
 	"github.com/anvildyke/anvildyke/internal/budgeter"
 	"github.com/anvildyke/anvildyke/internal/hasher"
+	"github.com/anvildyke/anvildyke/internal/isolator"
 	"github.com/anvildyke/anvildyke/internal/messenger"
 	"github.com/anvildyke/anvildyke/internal/storeclient"
 	"github.com/anvildyke/anvildyke/internal/syncer"
@@ -326,6 +327,7 @@
 			Board:    board,
 			Balancer: balancer.New(balancer.Config{}),
 			Budgeter: budgeter.New(budgetConfig, 1),
+			Isolator: isolator.New(zerolog.Nop()),
 			Timer:    timer.NewWall(),
 			Log:      zerolog.Nop(),
 		})
