Keep the retry budget across restarts of processes and moves of load

Cause: a new process began with a whole budget although its predecessor had spent its own in the same window; a VM whose load rose had the allowance at once that another one had just spent; counts of a service were dropped when a configuration did not name it. Change: in its first window a process uses a small part of the fixed allowance, later the average of its part over the last window; counts cover at least a window and are kept for a window. That these causes are those of the users' cases is only suspected.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -8,14 +8,21 @@
 )
 
 const (
-	// windowSteps is the number of steps in a window. The counts cover the current, incomplete step and the windowSteps-1 steps
-	// before it, which is up to one step less than a full window.
-	windowSteps = 20
-	// safetyFactor is the usable fraction of the budget. The rest allows for clock differences between VMs and for requests that
-	// arrive in a later window than the one in which they were sent.
-	safetyFactor = 0.8
-	// hedgeShare is the fraction of the budget available to hedges, so that some of it remains for retries.
-	hedgeShare = 0.75
+	// windowSteps is the number of steps in a window. The counts cover the current, incomplete step and the windowSteps steps before
+	// it, which is at least a full window.
+	windowSteps  = 20
+	countedSteps = windowSteps + 1
+	// The usable fractions of the budget. The rest allows for clock differences between VMs, for requests that arrive in a later window
+	// than the one in which they were sent, and for shares that move: when the load moves to another VM, both may use parts of the
+	// fixed allowance in the same window, up to 1.5 times the whole. Hedges may use less than retries.
+	hedgeRatioFactor = 0.6
+	hedgeFixedFactor = 0.6
+	retryRatioFactor = 0.8
+	retryFixedFactor = 0.65
+	// startFixedFactor replaces the factors of the fixed allowance for a window after the start of the process, because an earlier
+	// process of this VM, or other VMs on its behalf, may have used the allowance of that window. Two starts in a window stay
+	// below the whole allowance.
+	startFixedFactor = 0.15
 	// shareLifetime is how long a share remains valid without an update. It spans several messages between VMs.
 	shareLifetime = 3 * time.Second
 )
@@ -50,18 +57,24 @@
 	// equal shares.
 	share      float64
 	shareUntil time.Time
-	services   map[string]*slidingWindow
+	// shares contains the share at the end of each step of the current window. firstStep and lastStep are the numbers of the first step
+	// since the start and of the latest one, 0 before the first use.
+	shares    [countedSteps]float64
+	firstStep int64
+	lastStep  int64
+	services  map[string]*slidingWindow
 }
 
 // slidingWindow counts the attempts for a service in each step of the current window.
 type slidingWindow struct {
-	// lastStep is the number of the latest step.
+	// lastStep is the number of the latest step, lastAttempt that of the latest step with an extra attempt.
 	lastStep      int64
-	firstAttempts [windowSteps]int
-	extraAttempts [windowSteps]int
+	lastAttempt   int64
+	firstAttempts [countedSteps]int
+	extraAttempts [countedSteps]int
 }
 
-// New returns a Budgeter for one of vms VMs.
+// New returns a Budgeter for one of vms VMs. In the first window it allows only a part of the fixed allowance.
 func New(cfg Config, vms int) *Budgeter {
 	return &Budgeter{
 		cfg:      cfg,
@@ -77,10 +90,12 @@
 	b.vms = max(n, 1)
 }
 
-// SetShare sets this VM's fraction of FixedAllowance, 0 to 1. It expires after shareLifetime.
+// SetShare sets this VM's fraction of FixedAllowance, 0 to 1. It expires after shareLifetime. Changes take effect gradually over
+// a window: until then other VMs may have used the difference.
 func (b *Budgeter) SetShare(share float64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.recordShare(now)
 	b.share = share
 	b.shareUntil = now.Add(shareLifetime)
 }
@@ -93,6 +108,39 @@
 	return 1 / float64(b.vms)
 }
 
+// recordShare records the share in force in the step of now and in the steps since the last call.
+func (b *Budgeter) recordShare(now time.Time) {
+	share := b.currentShare(now)
+	step := b.step(now)
+	if b.firstStep == 0 {
+		b.firstStep, b.lastStep = step, step-1
+	}
+	for i := max(b.lastStep+1, step-windowSteps); i <= step; i++ {
+		b.shares[i%countedSteps] = share
+	}
+	b.lastStep = max(b.lastStep, step)
+	b.shares[b.lastStep%countedSteps] = share
+}
+
+// usableShare returns the fraction of FixedAllowance that may be used by attempts with the given factor: the average share over the
+// last window.
+func (b *Budgeter) usableShare(factor float64, now time.Time) float64 {
+	b.recordShare(now)
+	if b.lastStep-b.firstStep < windowSteps {
+		return startFixedFactor * b.currentShare(now)
+	}
+	total := 0.0
+	for _, share := range b.shares {
+		total += share
+	}
+	return factor * total / countedSteps
+}
+
+// step returns the number of the step that contains a time.
+func (b *Budgeter) step(now time.Time) int64 {
+	return now.UnixNano() / int64(b.cfg.Window/windowSteps)
+}
+
 // FirstAttempts returns the number of first attempts in the current window over all services.
 func (b *Budgeter) FirstAttempts(now time.Time) float64 {
 	b.mu.Lock()
@@ -112,6 +160,7 @@
 	defer b.mu.Unlock()
 	if cfg.Window != b.cfg.Window {
 		b.services = map[string]*slidingWindow{}
+		b.firstStep = 0
 	}
 	b.cfg = cfg
 }
@@ -121,7 +170,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
-	w.firstAttempts[w.lastStep%windowSteps]++
+	w.firstAttempts[w.lastStep%countedSteps]++
 }
 
 // Allow reports whether the budget allows an extra attempt, and counts the attempt if so.
@@ -129,37 +178,40 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
-	spent, allowed := b.usage(w, now)
-	if p == Hedge {
-		allowed *= hedgeShare
-	}
+	spent, allowed := b.usage(w, p, now)
 	if spent+1 > allowed {
 		return false
 	}
-	w.extraAttempts[w.lastStep%windowSteps]++
+	w.extraAttempts[w.lastStep%countedSteps]++
+	w.lastAttempt = w.lastStep
 	return true
 }
 
-// usage returns the number of extra attempts in the window and the number that is allowed.
-func (b *Budgeter) usage(w *slidingWindow, now time.Time) (spent, allowed float64) {
+// usage returns the number of extra attempts in the window and the number that is allowed, retries included, before an attempt for the
+// given purpose is denied.
+func (b *Budgeter) usage(w *slidingWindow, p Purpose, now time.Time) (spent, allowed float64) {
 	firstAttempts, extraAttempts := 0, 0
-	for i := range windowSteps {
+	for i := range countedSteps {
 		firstAttempts += w.firstAttempts[i]
 		extraAttempts += w.extraAttempts[i]
 	}
-	return float64(extraAttempts), safetyFactor * (b.cfg.Ratio*float64(firstAttempts) + b.cfg.FixedAllowance*b.currentShare(now))
+	ratioFactor, fixedFactor := retryRatioFactor, retryFixedFactor
+	if p == Hedge {
+		ratioFactor, fixedFactor = hedgeRatioFactor, hedgeFixedFactor
+	}
+	return float64(extraAttempts), ratioFactor*b.cfg.Ratio*float64(firstAttempts) + b.cfg.FixedAllowance*b.usableShare(fixedFactor, now)
 }
 
 // Usage returns the number of extra attempts of this VM for a service in the current window and the number that is allowed.
 func (b *Budgeter) Usage(service string, now time.Time) (spent, allowed float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.usage(b.window(service, now), now)
+	return b.usage(b.window(service, now), Retry, now)
 }
 
 // window returns the window of a service, advanced to now.
 func (b *Budgeter) window(service string, now time.Time) *slidingWindow {
-	step := now.UnixNano() / int64(b.cfg.Window/windowSteps)
+	step := b.step(now)
 	w, ok := b.services[service]
 	if !ok {
 		w = &slidingWindow{
@@ -167,20 +219,21 @@
 		}
 		b.services[service] = w
 	}
-	for i := max(w.lastStep+1, step-windowSteps+1); i <= step; i++ {
-		w.firstAttempts[i%windowSteps] = 0
-		w.extraAttempts[i%windowSteps] = 0
+	for i := max(w.lastStep+1, step-windowSteps); i <= step; i++ {
+		w.firstAttempts[i%countedSteps] = 0
+		w.extraAttempts[i%countedSteps] = 0
 	}
 	w.lastStep = max(w.lastStep, step)
 	return w
 }
 
-// Retain removes the budgets of services for which keep returns false.
-func (b *Budgeter) Retain(keep func(service string) bool) {
+// Retain removes the budgets of services for which keep returns false, once they have had no attempt for a window: a service may
+// return with the next configuration.
+func (b *Budgeter) Retain(keep func(service string) bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for name := range b.services {
-		if !keep(name) {
+	for name, w := range b.services {
+		if !keep(name) && b.step(now)-w.lastAttempt > windowSteps {
 			delete(b.services, name)
 		}
 	}
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -1,6 +1,10 @@
 package budgeter_test
 
 import (
+	"math"
+	"os"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -163,3 +167,141 @@
 	_, afterExpiry := b.Usage("shard", now.Add(time.Minute))
 	assert.Assert(t, afterExpiry < fullShare/2)
 }
+
+const (
+	scenarioVMs     = 7
+	scenarioSeconds = 40
+	stepsPerSecond  = 10
+)
+
+// scenario is a fleet of VMs whose requests attempt as many retries as they may.
+type scenario struct {
+	vms [scenarioVMs]*budgeter.Budgeter
+	// weights are the weights of the VMs as requests are spread over them.
+	weights  []float64
+	noShares bool
+	count    int
+	// sent and retries are the numbers of requests and retries in each step.
+	sent    []int
+	retries []int
+}
+
+func (s *scenario) apply(t *testing.T, event string, now time.Time) {
+	t.Helper()
+	words := strings.Fields(event)
+	var numbers []float64
+	for _, w := range words[1:] {
+		n, err := strconv.ParseFloat(w, 64)
+		assert.NilError(t, err, event)
+		numbers = append(numbers, n)
+	}
+	switch words[0] {
+	case "restart":
+		for _, n := range numbers {
+			s.vms[int(n)] = budgeter.New(testConfig, s.count)
+		}
+	case "load":
+		s.weights = numbers
+	case "no-shares":
+		s.noShares = true
+	case "forget":
+		for _, b := range s.vms {
+			b.Retain(func(string) bool {
+				return false
+			}, now)
+		}
+	case "vms":
+		s.count = int(numbers[0])
+		for _, b := range s.vms {
+			b.SetVMCount(s.count)
+		}
+	default:
+		t.Fatalf("unknown event: %s", event)
+	}
+}
+
+// busy returns the VM that receives the request of a step.
+func (s *scenario) busy(step int) int {
+	total := 0.0
+	for _, w := range s.weights {
+		total += w
+	}
+	point := math.Mod(float64(step)*0.1, 1) * total
+	for i, w := range s.weights {
+		if point -= w; point < -1e-9 {
+			return i
+		}
+	}
+	return step % scenarioVMs
+}
+
+// updateShares sets the shares as the reader of a zone does: a quarter equal, the rest by the requests of the last window.
+func (s *scenario) updateShares(now time.Time) {
+	total := 0.0
+	for _, b := range s.vms {
+		total += b.FirstAttempts(now)
+	}
+	if s.noShares || total == 0 {
+		return
+	}
+	for _, b := range s.vms {
+		b.SetShare(0.25/scenarioVMs+0.75*b.FirstAttempts(now)/total, now)
+	}
+}
+
+func (s *scenario) run(t *testing.T, events map[int][]string) {
+	t.Helper()
+	s.count = scenarioVMs
+	for i := range s.vms {
+		s.vms[i] = budgeter.New(testConfig, scenarioVMs)
+	}
+	for step := range scenarioSeconds * stepsPerSecond {
+		now := time.Unix(1000, 0).Add(time.Duration(step) * time.Second / stepsPerSecond)
+		if step%stepsPerSecond == 0 {
+			for _, event := range events[step/stepsPerSecond] {
+				s.apply(t, event, now)
+			}
+			s.updateShares(now)
+		}
+		s.sent, s.retries = append(s.sent, 0), append(s.retries, 0)
+		s.vms[s.busy(step)].RecordFirstAttempt("shard", now)
+		s.sent[step]++
+		for _, b := range s.vms {
+			for b.Allow("shard", budgeter.Retry, now) {
+				s.retries[step]++
+			}
+		}
+	}
+}
+
+// Guards against VMs that together retry more often than the operators allow in any window, because processes start anew, shares of
+// the budget move between VMs, or a service is missing in the configuration for a moment.
+func TestRetriesOfChangingFleets(t *testing.T) {
+	data, err := os.ReadFile("testdata/fleets.txt")
+	assert.NilError(t, err)
+	for _, line := range strings.Split(string(data), "\n") {
+		name, text, ok := strings.Cut(line, ":")
+		if !ok || strings.HasPrefix(line, "#") {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			events := map[int][]string{}
+			for _, event := range strings.Split(text, ";") {
+				if second, rest, ok := strings.Cut(strings.TrimSpace(event), " "); ok {
+					n, err := strconv.Atoi(second)
+					assert.NilError(t, err, event)
+					events[n] = append(events[n], rest)
+				}
+			}
+			var s scenario
+			s.run(t, events)
+			const window = 10 * stepsPerSecond
+			for end := window; end <= len(s.sent); end++ {
+				allowed := testConfig.Ratio*float64(sum(s.sent[end-window:end])) + testConfig.FixedAllowance
+				retries := sum(s.retries[end-window : end])
+				assert.Assert(t, float64(retries) <= allowed, "%d retries in the window that ends at step %d, allowed are %v", retries, end, allowed)
+			}
+			assert.Assert(t, sum(s.retries) > scenarioSeconds, "%d retries", sum(s.retries))
+		})
+	}
+}
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -140,7 +140,7 @@
 	g.budgeter.Retain(func(service string) bool {
 		_, ok := table.Services[service]
 		return ok
-	})
+	}, now)
 }
 
 // updateReachability makes the VM report that it is not ready while a network partition separates it from backend servers that
