Pass on no status that promises what the server has not stated

A caller that sees 503, 429 or 408 knows that its request has not run and never will. Such an answer of a server that does not state this was passed on as it is, also for requests that may run only once.

Cause: the response of a server that may have run the request was returned with its status. Change: such a response is a failure with an unknown outcome (502).

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -107,6 +107,17 @@
 			Status:    500,
 			Signature: "proof-" + e.ID,
 		}, nil
+	case "503", "429", "408":
+		status, err := strconv.Atoi(string(b))
+		if err != nil {
+			panic(err)
+		}
+		resp := fasthttp.AcquireResponse()
+		resp.SetStatusCode(status)
+		return resp, dispatcher.Reply{
+			Status:    status,
+			Signature: "proof-" + e.ID,
+		}, nil
 	case resets:
 		return nil, dispatcher.Reply{}, classifier.Errorf(classifier.ConnectionReset, "the connection was reset")
 	case refusesConnection:
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -467,7 +467,7 @@
 		return
 	}
 	s.lastCode = r.code()
-	if r.response != nil && !notRun && j.fanout == nil && r.reply.Signature != "" {
+	if r.response != nil && !notRun && j.fanout == nil && r.reply.Signature != "" && !promisesNotRun(r.reply.Status) {
 		releaseResponse(s.response)
 		s.response = r.response
 		s.reply = r.reply
@@ -477,6 +477,17 @@
 	j.retryOrFail(r.shard, notRun, now)
 }
 
+// promisesNotRun reports whether callers take an answer with the status as a promise that the request has not run and never will. A
+// server that answers so without stating that it has not run the request makes no such promise.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 func releaseResponse(resp *fasthttp.Response) {
 	if resp != nil {
 		fasthttp.ReleaseResponse(resp)
