Let a VM that starts late in a move rely on the reports of the others

A VM that starts after the ordered time of a move took a good version back for all VMs.

Cause: a VM without a step of its own decided as if no VM had switched in time. Change: reports state whether any VM has switched; a VM that starts late joins those, or waits for the reports of all zones for up to 10 s.

--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -516,8 +516,9 @@
 	Order uint64
 	// Age is the time since the move was ordered.
 	Age time.Duration
-	// Switched is set if all requests are sent to the new version.
-	Switched bool
+	// Switched is set if all VMs of the report send all requests to the new version, AnySwitched if one of them does.
+	Switched    bool
+	AnySwitched bool
 	// OldRunning is the number of requests that are running on servers of the old version.
 	OldRunning int
 	// Fault is the reason for which the move was rolled back. It is empty if the move was not rolled back.
--- a/internal/promoter/decision.go
+++ b/internal/promoter/decision.go
@@ -51,6 +51,8 @@
 	// maxSwitchedTime is the time after which a switched move is done even if evidence is missing or requests on the old version
 	// are in progress. It exceeds the longest specified route timeout of 6 s.
 	maxSwitchedTime = 10 * time.Second
+	// maxOrderDelay is the time within which a VM that runs receives an order. A VM that learns of an order later has started since.
+	maxOrderDelay = 3 * time.Second
 	// trialServerPeriod is the time for which a trial uses the same servers. The requests of a trial go to only a few servers, so
 	// that each has about the load of a server of the old version and a version that fails under load is detected.
 	trialServerPeriod = 4 * time.Second
@@ -76,6 +78,10 @@
 	// which this VM has done so.
 	AllVMsSwitched bool
 	SwitchedFor    time.Duration
+	// AnyVMSwitched is true if a VM with a current report sends all requests to the new version. KnownFor is the time for which this VM
+	// has known the order, which is shorter than Age if it started during the move.
+	AnyVMSwitched bool
+	KnownFor      time.Duration
 	// OldRunning is the number of requests in progress on servers of the old version.
 	OldRunning int
 	// OldSlots and NewSlots are the numbers of requests that the servers of each version can run concurrently. Both exclude lapsed
@@ -118,6 +124,12 @@
 	switch {
 	case previous.Step == blackboard.StepSwitched:
 		return continueSwitched(o, p)
+	case p.Age >= o.Duration && p.AnyVMSwitched:
+		// This VM has started since the others switched.
+		return stepTo(o, blackboard.StepSwitched, 1, blackboard.MoveRunning)
+	case p.Age >= o.Duration && !p.AllZonesUpToDate && p.Age-p.KnownFor > maxOrderDelay && p.KnownFor < maxSwitchedTime:
+		// This VM has started during the move and does not know yet how far the others are.
+		return stepTo(o, blackboard.StepHeld, 0, blackboard.MoveRunning)
 	case p.Age >= o.Duration:
 		return rollBack(o, "The evidence was too little to finish in time.")
 	case !p.ZoneUpToDate || p.NewSlots == 0:
--- a/internal/promoter/decision_test.go
+++ b/internal/promoter/decision_test.go
@@ -26,6 +26,9 @@
 	Stale       bool
 	Complete    bool
 	AllSwitched bool
+	AnySwitched bool
+	// KnownFor is the time for which the VM has known the order, At if it is not given.
+	KnownFor    *float64
 	SwitchedFor float64
 	OldRunning  int
 	Fault       string
@@ -54,6 +57,8 @@
 		ZoneUpToDate:      !c.Stale,
 		AllZonesUpToDate:  c.Complete,
 		AllVMsSwitched:    c.AllSwitched,
+		AnyVMSwitched:     c.AnySwitched,
+		KnownFor:          time.Duration(orDefault(c.KnownFor, c.At) * float64(time.Second)),
 		SwitchedFor:       time.Duration(c.SwitchedFor * float64(time.Second)),
 		OldRunning:        c.OldRunning,
 		OldSlots:          orDefault(c.OldSlots, 30),
--- a/internal/promoter/evidence.go
+++ b/internal/promoter/evidence.go
@@ -67,6 +67,8 @@
 	name string
 	// orderedAt is the earliest time at which any VM is known to have received the order.
 	orderedAt time.Time
+	// receivedAt is the time at which this VM has received the order.
+	receivedAt time.Time
 	// localCounts contains the results that this VM has observed since it received the order.
 	localCounts routeCounts
 	// slowThresholds contains the latency above which an answer is slow, keyed by the name of the route.
@@ -88,6 +90,7 @@
 		moveOrder:      order,
 		name:           name,
 		orderedAt:      now,
+		receivedAt:     now,
 		localCounts:    routeCounts{},
 		slowThresholds: map[string]time.Duration{},
 	}
--- a/internal/promoter/exchange.go
+++ b/internal/promoter/exchange.go
@@ -34,6 +34,7 @@
 	zoneUpToDate     bool
 	allZonesUpToDate bool
 	allSwitched      bool
+	anySwitched      bool
 	oldRunning       int
 	rollbackReason   string
 }
@@ -47,12 +48,13 @@
 			continue
 		}
 		r := messenger.MoveReport{
-			Name:       name,
-			Order:      st.moveOrder.ID,
-			Age:        now.Sub(st.orderedAt),
-			Switched:   st.decision.Step == blackboard.StepSwitched,
-			OldRunning: p.o.RunningOnOtherVersions(st.moveOrder.Service, st.moveOrder.To),
-			Evidence:   st.localCounts.records(st.moveOrder),
+			Name:        name,
+			Order:       st.moveOrder.ID,
+			Age:         now.Sub(st.orderedAt),
+			Switched:    st.decision.Step == blackboard.StepSwitched,
+			AnySwitched: st.decision.Step == blackboard.StepSwitched,
+			OldRunning:  p.o.RunningOnOtherVersions(st.moveOrder.Service, st.moveOrder.To),
+			Evidence:    st.localCounts.records(st.moveOrder),
 		}
 		if st.decision.Outcome == blackboard.MoveRolledBack {
 			r.Fault = st.decision.Reason
@@ -79,6 +81,7 @@
 				if move.Name == s.Name && move.Order == s.Order {
 					s.Age = max(s.Age, move.Age)
 					s.Switched = s.Switched && move.Switched
+					s.AnySwitched = s.AnySwitched || move.AnySwitched
 					s.OldRunning += move.OldRunning
 					s.Fault = cmp.Or(s.Fault, move.Fault)
 					routes.add(order, move.Evidence)
@@ -130,6 +133,7 @@
 			s.routes.add(st.moveOrder, move.Evidence)
 			if now.Sub(r.at) <= maxReportAge {
 				s.allSwitched = s.allSwitched && move.Switched
+				s.anySwitched = s.anySwitched || move.AnySwitched
 				s.oldRunning += move.OldRunning
 			}
 		}
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -246,6 +246,8 @@
 		ZoneUpToDate:      s.zoneUpToDate,
 		AllZonesUpToDate:  s.allZonesUpToDate,
 		AllVMsSwitched:    s.allSwitched,
+		AnyVMSwitched:     s.anySwitched,
+		KnownFor:          now.Sub(st.receivedAt),
 		OldRunning:        s.oldRunning,
 		RequestsPerSecond: st.requestRate(s.routes, now),
 		RollbackReason:    s.rollbackReason,
