Go on accepting callers when descriptors run out

A gateway whose descriptors were used up accepted no callers for good and said that it was ready.

Cause: the HTTP server ends on this error, and nothing limited the connections of callers. Change: package admitter: accepting goes on after errors that pass; connections of callers are limited to half of the descriptors or to the setting caller-connections, idle ones end first; the gateway is not ready while it cannot accept; a dial that fails for lack of descriptors says nothing about the server.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/anvildyke/anvildyke/internal/admitter"
 	"github.com/anvildyke/anvildyke/internal/blackboard"
 	"github.com/anvildyke/anvildyke/internal/classifier"
 	"github.com/anvildyke/anvildyke/internal/connector"
@@ -95,6 +96,7 @@
 		Handler:                      a.serve,
 		ErrorHandler:                 a.handleReadError,
 		HeaderReceived:               a.requestConfig,
+		ConnState:                    trackIdle,
 		MaxRequestBodySize:           maxBodyBytes,
 		ReadBufferSize:               maxHeaderBytes,
 		ReadTimeout:                  readTimeout,
@@ -109,6 +111,21 @@
 	return a
 }
 
+// trackIdle tells the listener which connections are idle, so that it can close these if there are too many.
+func trackIdle(conn net.Conn, state fasthttp.ConnState) {
+	c, ok := conn.(*admitter.Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case fasthttp.StateActive:
+		c.SetIdle(false)
+	case fasthttp.StateIdle:
+		c.SetIdle(true)
+	case fasthttp.StateNew, fasthttp.StateHijacked, fasthttp.StateClosed:
+	}
+}
+
 // Serve accepts connections from callers until l is closed.
 func (a *Acceptor) Serve(l net.Listener) error {
 	return a.server.Serve(l)
--- a/internal/blackboard/sections.go
+++ b/internal/blackboard/sections.go
@@ -319,9 +319,11 @@
 	PhaseReady    Phase = "Ready"
 	PhaseZoneOut  Phase = "ZoneOut"
 	// PhaseCutOff is the phase of a gateway that reaches too few backend servers because most zones are unreachable.
-	PhaseCutOff   Phase = "CutOff"
-	PhaseDraining Phase = "Draining"
-	PhaseStopped  Phase = "Stopped"
+	PhaseCutOff Phase = "CutOff"
+	// PhaseSaturated is the phase of a gateway that cannot accept connections because too many are open.
+	PhaseSaturated Phase = "Saturated"
+	PhaseDraining  Phase = "Draining"
+	PhaseStopped   Phase = "Stopped"
 )
 
 // Lifecycle contains the phase of this daemon. The zero value stands for PhaseStarting.
--- a/internal/configurer/gateway.go
+++ b/internal/configurer/gateway.go
@@ -41,6 +41,11 @@
 	ExposureTolerance float64
 	// MemoryBytes is the memory that the process may use, 0 if it is not limited.
 	MemoryBytes int64
+	// Descriptors is the number of file descriptors that the process may use according to the settings, 0 if they do not state it.
+	Descriptors int
+	// MaxCallerConnections limits the open connections of callers. 0 means half of the descriptors, so that the rest is free for
+	// connections to backend servers, the platform and other VMs.
+	MaxCallerConnections int
 }
 
 // Validate returns an error that lists all invalid settings, or nil.
@@ -65,6 +70,9 @@
 	if g.MemoryBytes < 0 {
 		faults = append(faults, errors.New("the memory limit is negative"))
 	}
+	if g.Descriptors < 0 || g.MaxCallerConnections < 0 || g.Descriptors > 0 && g.MaxCallerConnections > g.Descriptors {
+		faults = append(faults, errors.New("the number of file descriptors or of connections of callers is negative, or there are more connections than descriptors"))
+	}
 	if g.RetryRatio < 0 || g.RetryExtra < 0 {
 		faults = append(faults, errors.New("the ratio or the number of extra requests of the retry budget is negative"))
 	}
--- a/internal/connector/http.go
+++ b/internal/connector/http.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -47,6 +49,17 @@
 	return newHTTPConn(c, &d.buffers), nil
 }
 
+// IsLocalScarcity reports whether a connection could not be opened because this process or its machine lacks descriptors, ports or
+// memory.
+func IsLocalScarcity(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // MostBufferedBytes returns the highest number of bytes of incomplete responses that the dialer's connections have held together.
 func (d *HTTPDialer) MostBufferedBytes() int64 {
 	return d.buffers.most.Load()
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -14,6 +14,7 @@
 	"github.com/anvildyke/anvildyke/internal/blackboard"
 	"github.com/anvildyke/anvildyke/internal/budgeter"
 	"github.com/anvildyke/anvildyke/internal/classifier"
+	"github.com/anvildyke/anvildyke/internal/connector"
 	"github.com/anvildyke/anvildyke/internal/discoverer"
 	"github.com/anvildyke/anvildyke/internal/isolator"
 	"github.com/anvildyke/anvildyke/internal/promoter"
@@ -420,8 +421,13 @@
 	return j.d.o.Sender.Send(j.ctx, &j.request, a.endpoint, !j.request.Route.Idempotent)
 }
 
+// attemptOutcome returns the outcome for the balancer. A connection that this VM could not open for lack of descriptors or ports says
+// nothing about the server.
 func attemptOutcome(r Reply, err error) balancer.AttemptOutcome {
 	if err != nil {
+		if connector.IsLocalScarcity(err) {
+			return balancer.Cancelled
+		}
 		switch classifier.CodeOf(err) {
 		case classifier.NotSent:
 			return balancer.Unreachable
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -5,14 +5,17 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/anvildyke/anvildyke/internal/acceptor"
+	"github.com/anvildyke/anvildyke/internal/admitter"
 	"github.com/anvildyke/anvildyke/internal/balancer"
 	"github.com/anvildyke/anvildyke/internal/blackboard"
 	"github.com/anvildyke/anvildyke/internal/budgeter"
@@ -98,6 +101,8 @@
 	// logCloser flushes the buffered log lines when it is closed.
 	logCloser    io.Closer
 	droppedLines *logger.DropCounter
+	// callerListener is nil before Run.
+	callerListener atomic.Pointer[admitter.Listener]
 	// partitioned is true while the VM cannot serve its callers because most zones are unreachable.
 	partitioned atomic.Bool
 	// reportedDrops is the number of dropped log lines that have been reported in the log.
@@ -227,6 +232,12 @@
 	g.exporter.Counter("connections_opened_total", "Connections that were opened to backend servers.", func() float64 {
 		return float64(g.pooler.Opened())
 	})
+	g.exporter.Gauge("caller_connections", "Open connections of callers.", func() float64 {
+		if l := g.callerListener.Load(); l != nil {
+			return float64(l.Open())
+		}
+		return 0
+	})
 	g.exporter.Gauge("config_version", "Version of the configuration in force.", func() float64 {
 		return float64(g.board.Routes.Read().Version)
 	})
@@ -367,6 +378,12 @@
 	return phase == blackboard.PhaseDraining || phase == blackboard.PhaseStopped
 }
 
+// saturated reports whether callers cannot connect because too many connections are open.
+func (g *Gateway) saturated() bool {
+	l := g.callerListener.Load()
+	return l != nil && l.Saturated(g.timer.Now())
+}
+
 // phase returns the phase that the health probes report.
 func (g *Gateway) phase() blackboard.Phase {
 	switch {
@@ -374,6 +391,8 @@
 		return g.lifecycleBoard.Lifecycle.Read().Phase
 	case g.partitioned.Load():
 		return blackboard.PhaseCutOff
+	case g.saturated():
+		return blackboard.PhaseSaturated
 	case g.board.Routes.Read().Loaded && g.board.Servers.Read().Loaded:
 		return blackboard.PhaseReady
 	default:
@@ -381,16 +400,51 @@
 	}
 }
 
-// Run serves until ctx is done and then shuts down gracefully. The error reports a listener that could not be opened, requests
-// that the shutdown interrupted, or a failure to flush the log.
-func (g *Gateway) Run(ctx context.Context) error {
+// listen opens the listeners for callers and probes.
+func (g *Gateway) listen() (callers, probes *admitter.Listener, err error) {
 	callerListener, err := net.Listen("tcp", g.cfg.CallerAddress.String())
 	if err != nil {
-		return fmt.Errorf("listening for callers: %w", err)
+		return nil, nil, fmt.Errorf("listening for callers: %w", err)
 	}
 	probeListener, err := net.Listen("tcp", g.cfg.ProbeAddress.String())
 	if err != nil {
-		return errors.Join(fmt.Errorf("listening for probes: %w", err), callerListener.Close())
+		return nil, nil, errors.Join(fmt.Errorf("listening for probes: %w", err), callerListener.Close())
+	}
+	log := g.logger.Part("admitter")
+	limit := g.maxCallerConnections()
+	log.Info().Int("Limit", limit).Msg("The number of open connections of callers is limited.")
+	callers = admitter.New(callerListener, admitter.Options{
+		Limit: limit,
+		Timer: g.timer,
+		Log:   log,
+	})
+	probes = admitter.New(probeListener, admitter.Options{
+		Timer: g.timer,
+		Log:   log,
+	})
+	g.callerListener.Store(callers)
+	return callers, probes, nil
+}
+
+// maxCallerConnections returns the limit of the settings, or half of the descriptors that the settings and the operating system allow.
+func (g *Gateway) maxCallerConnections() int {
+	if g.cfg.MaxCallerConnections > 0 {
+		return g.cfg.MaxCallerConnections
+	}
+	n := g.cfg.Descriptors
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < math.MaxInt32 && (n == 0 || int(limit.Cur) < n) {
+		n = int(limit.Cur)
+	}
+	return n / 2
+}
+
+// Run serves until ctx is done and then shuts down gracefully. The error reports a listener that could not be opened, requests
+// that the shutdown interrupted, or a failure to flush the log.
+func (g *Gateway) Run(ctx context.Context) error {
+	callerListener, probeListener, err := g.listen()
+	if err != nil {
+		return err
 	}
 	g.drainer = drainer.New(drainer.Options{
 		AvailabilityZone: g.cfg.Zone,
