Refuse late requests of a stopping VM only after the load balancer's delay

The log line of a panic read the lists of the job from another goroutine. Change: late requests are refused from the end of that delay; the line of a panic has no lists; reports of crashes in a message are bounded.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -43,7 +43,7 @@
 	notReadyRetryAfter = 500 * time.Millisecond
 	// stoppingRetryAfter is the retry delay that callers are given while the VM stops. Another VM can serve them at once.
 	stoppingRetryAfter = 100 * time.Millisecond
-	// A VM that stops accepts a request only if expectedDurationFactor times the target latency of its route remains, or
+	// A VM that stops accepts a late request only if expectedDurationFactor times the target latency of its route remains, or
 	// defaultExpectedDuration on a route without a target latency.
 	expectedDurationFactor  = 2
 	defaultExpectedDuration = time.Second
@@ -82,8 +82,16 @@
 	server      *fasthttp.Server
 	disconnects *disconnectWatcher
 	running     atomic.Int64
-	// stopTime is the time at which a VM that stops ends its requests, nil while it does not stop.
-	stopTime atomic.Pointer[time.Time]
+	// stop is nil while the VM does not stop.
+	stop atomic.Pointer[stopTimes]
+}
+
+// stopTimes are the times of the stop of a VM.
+type stopTimes struct {
+	// refuseFrom is the time from which requests that are not expected to be answered in time are refused.
+	refuseFrom time.Time
+	// end is the time at which running requests are ended.
+	end time.Time
 }
 
 // New returns an Acceptor. It handles connections once Serve is called.
@@ -147,13 +155,17 @@
 	return int(a.running.Load())
 }
 
-// SetStopTime announces that the VM stops and ends its requests at t. Requests that are not expected to be answered by then are
-// refused from now on.
-func (a *Acceptor) SetStopTime(t time.Time) {
-	a.stopTime.Store(&t)
+// SetStopTimes announces that the VM stops and ends its requests at the time end. Requests that arrive after refuseFrom and are not
+// expected to be answered by then are refused. Until refuseFrom the load balancer may not know of the stop, and many requests take
+// less time than their routes allow.
+func (a *Acceptor) SetStopTimes(refuseFrom, end time.Time) {
+	a.stop.Store(&stopTimes{
+		refuseFrom: refuseFrom,
+		end:        end,
+	})
 }
 
-// EndRequests answers the running requests with what is known of them and returns their number. SetStopTime has to be called
+// EndRequests answers the running requests with what is known of them and returns their number. SetStopTimes has to be called
 // before, so that no further requests start.
 func (a *Acceptor) EndRequests() int {
 	return a.disconnects.cancelAll(dispatcher.ErrStopping)
@@ -161,15 +173,15 @@
 
 // tooLate reports whether the VM stops before a request that arrives now can be expected to be answered.
 func (a *Acceptor) tooLate(route *router.Route, now time.Time) bool {
-	stop := a.stopTime.Load()
-	if stop == nil {
+	stop := a.stop.Load()
+	if stop == nil || now.Before(stop.refuseFrom) {
 		return false
 	}
 	expected := expectedDurationFactor * route.TargetLatency
 	if expected <= 0 {
 		expected = defaultExpectedDuration
 	}
-	return stop.Sub(now) < expected
+	return stop.end.Sub(now) < expected
 }
 
 // requestConfig returns the limits that the current configuration sets for a request.
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -413,8 +413,9 @@
 	j := a.job
 	defer func() {
 		if v := recover(); v != nil {
-			j.logDecision(j.d.o.Timer.Now(), "panic").Str("Server", a.endpoint.ID).Str("Fault", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).
-				Msg("An attempt panicked.")
+			// The lists that logDecision reports belong to the goroutine of the job.
+			j.d.o.Log.Error().Str("Request", j.request.ID).Str("Decision", "panic").Str("Route", j.request.Route.Name).Str("Server", a.endpoint.ID).
+				Str("Fault", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).Msg("An attempt panicked.")
 			resp, reply, err = nil, Reply{}, classifier.Errorf(classifier.OutcomeUnknown, "the attempt panicked: %v", v)
 		}
 	}()
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -303,7 +303,7 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for _, r := range reports {
+	for _, r := range reports[:min(len(reports), maxReported)] {
 		if r.At.Sub(now) > maxClockDifference || now.Sub(r.At) > 2*isolationTime {
 			continue
 		}
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -112,11 +112,11 @@
 	pooler        *pooler.Pooler
 	budgeter      *budgeter.Budgeter
 	isolator      *isolator.Isolator
-	// crashes exchanges the reports of the isolator with other zones.
-	crashes    *isolator.Exchanger
-	serverSink *syncer.ServerSink
-	acceptor   *acceptor.Acceptor
-	drainer    *drainer.Drainer
+	// crashExchanger exchanges the reports of the isolator with other zones.
+	crashExchanger *isolator.Exchanger
+	serverSink     *syncer.ServerSink
+	acceptor       *acceptor.Acceptor
+	drainer        *drainer.Drainer
 	// recorder stamps the messages that VMs exchange and the events that they record.
 	recorder   *recorder.Recorder
 	syncer     *syncer.Syncer
@@ -203,7 +203,7 @@
 			Promoter: g.promoter,
 		}),
 		g.peerServer.Register("Crashes", &isolator.Server{
-			Exchanger: g.crashes,
+			Exchanger: g.crashExchanger,
 		}),
 	)
 }
@@ -289,7 +289,7 @@
 		Timer:      g.timer,
 		Log:        log,
 	})
-	g.crashes = isolator.NewExchanger(isolator.ExchangerOptions{
+	g.crashExchanger = isolator.NewExchanger(isolator.ExchangerOptions{
 		VM:       g.cfg.Name,
 		Zone:     g.cfg.Zone,
 		Isolator: g.isolator,
@@ -475,7 +475,8 @@
 	g.log.Info().Stringer("Callers", g.cfg.CallerAddress).Str("AvailabilityZone", g.cfg.Zone).Msg("The gateway has started.")
 	<-ctx.Done()
 	g.log.Info().Int("Running", g.acceptor.Running()).Msg("The gateway is shutting down.")
-	g.acceptor.SetStopTime(g.timer.Now().Add(g.cfg.GracePeriod - connectionCloseReserve))
+	now := g.timer.Now()
+	g.acceptor.SetStopTimes(now.Add(balancerDelay), now.Add(g.cfg.GracePeriod-connectionCloseReserve))
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), g.cfg.GracePeriod)
 	defer cancelStop()
 	err = g.drainer.Shutdown(stopCtx)
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -23,7 +23,7 @@
 		g.syncer.Run,
 		g.enroller.Run,
 		g.promoter.Run,
-		g.crashes.Run,
+		g.crashExchanger.Run,
 		g.runHousekeeping,
 		g.runConnectionProbes,
 		g.acceptor.Run,
