--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 KNOWN_RED := $(shell test -f KNOWN-RED.txt && grep -o '^Test[A-Za-z0-9_/]*' KNOWN-RED.txt | paste -sd '|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: build test short race fuzz lint format demo bench tools gopls
+.PHONY: build test short race fuzz soak lint format demo bench tools gopls
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -35,6 +35,11 @@
 		TEST_BIN_DIR=$(BIN) go test -run '^$$' -fuzz "^$${t#*:}$$" -fuzztime $(FUZZ_TIME) "./$${t%:*}"; \
 	done
 
+# Plays the seeds FROM-TO of the soaks, one after the other. See docs/SOAK.md.
+SEEDS := 1-5
+soak: build
+	SOAK_SEEDS=$(SEEDS) STOP_SEEDS=$(SEEDS) TEST_BIN_DIR=$(BIN) go test -count=1 -v -timeout 0 -run '^(TestSoak|TestStopsUnderKeptConnections)$$' ./platform
+
 lint: tools
 	test -z "$$($(BIN)/gofumpt -l cmd internal platform)" || { $(BIN)/gofumpt -d cmd internal platform; exit 1; }
 	$(BIN)/golangci-lint run ./...
