Let hedges use the current part of the retry budget again

Change: the average binds retries only; the scenarios of TestRetriesOfChangingFleets are played with hedges as well. All scenarios hold.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -122,18 +122,22 @@
 	b.shares[b.lastStep%countedSteps] = share
 }
 
-// usableShare returns the fraction of FixedAllowance that may be used by attempts with the given factor: the average share over the
-// last window.
-func (b *Budgeter) usableShare(factor float64, now time.Time) float64 {
+// usableShare returns the fraction of FixedAllowance that may be used by attempts for the given purpose. Retries use the average share
+// over the last window. Hedges use the current share, because the VM that has the requests at this moment needs them; if the load
+// moves to another VM, the part of the ratio that hedges leave covers what both use.
+func (b *Budgeter) usableShare(p Purpose, now time.Time) float64 {
 	b.recordShare(now)
-	if b.lastStep-b.firstStep < windowSteps {
+	switch {
+	case b.lastStep-b.firstStep < windowSteps:
 		return startFixedFactor * b.currentShare(now)
+	case p == Hedge:
+		return hedgeFixedFactor * b.currentShare(now)
 	}
 	total := 0.0
 	for _, share := range b.shares {
 		total += share
 	}
-	return factor * total / countedSteps
+	return retryFixedFactor * total / countedSteps
 }
 
 // step returns the number of the step that contains a time.
@@ -195,11 +199,11 @@
 		firstAttempts += w.firstAttempts[i]
 		extraAttempts += w.extraAttempts[i]
 	}
-	ratioFactor, fixedFactor := retryRatioFactor, retryFixedFactor
+	ratioFactor := retryRatioFactor
 	if p == Hedge {
-		ratioFactor, fixedFactor = hedgeRatioFactor, hedgeFixedFactor
+		ratioFactor = hedgeRatioFactor
 	}
-	return float64(extraAttempts), ratioFactor*b.cfg.Ratio*float64(firstAttempts) + b.cfg.FixedAllowance*b.usableShare(fixedFactor, now)
+	return float64(extraAttempts), ratioFactor*b.cfg.Ratio*float64(firstAttempts) + b.cfg.FixedAllowance*b.usableShare(p, now)
 }
 
 // Usage returns the number of extra attempts of this VM for a service in the current window and the number that is allowed.
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -174,7 +174,7 @@
 	stepsPerSecond  = 10
 )
 
-// scenario is a fleet of VMs whose requests attempt as many retries as they may.
+// scenario is a fleet of VMs whose requests attempt as many retries or hedges as they may.
 type scenario struct {
 	vms [scenarioVMs]*budgeter.Budgeter
 	// weights are the weights of the VMs as requests are spread over them.
@@ -249,7 +249,7 @@
 	}
 }
 
-func (s *scenario) run(t *testing.T, events map[int][]string) {
+func (s *scenario) run(t *testing.T, purpose budgeter.Purpose, events map[int][]string) {
 	t.Helper()
 	s.count = scenarioVMs
 	for i := range s.vms {
@@ -267,14 +267,14 @@
 		s.vms[s.busy(step)].RecordFirstAttempt("shard", now)
 		s.sent[step]++
 		for _, b := range s.vms {
-			for b.Allow("shard", budgeter.Retry, now) {
+			for b.Allow("shard", purpose, now) {
 				s.retries[step]++
 			}
 		}
 	}
 }
 
-// Guards against VMs that together retry more often than the operators allow in any window, because processes start anew, shares of
+// Guards against VMs that together retry or hedge more often than the operators allow in any window, because processes start anew, shares of
 // the budget move between VMs, or a service is missing in the configuration for a moment.
 func TestRetriesOfChangingFleets(t *testing.T) {
 	data, err := os.ReadFile("testdata/fleets.txt")
@@ -284,8 +284,8 @@
 		if !ok || strings.HasPrefix(line, "#") {
 			continue
 		}
+		events := map[int][]string{}
 		t.Run(name, func(t *testing.T) {
-			events := map[int][]string{}
 			for _, event := range strings.Split(text, ";") {
 				if second, rest, ok := strings.Cut(strings.TrimSpace(event), " "); ok {
 					n, err := strconv.Atoi(second)
@@ -293,15 +293,23 @@
 					events[n] = append(events[n], rest)
 				}
 			}
-			var s scenario
-			s.run(t, events)
-			const window = 10 * stepsPerSecond
-			for end := window; end <= len(s.sent); end++ {
-				allowed := testConfig.Ratio*float64(sum(s.sent[end-window:end])) + testConfig.FixedAllowance
-				retries := sum(s.retries[end-window : end])
-				assert.Assert(t, float64(retries) <= allowed, "%d retries in the window that ends at step %d, allowed are %v", retries, end, allowed)
+			for _, purpose := range []budgeter.Purpose{budgeter.Retry, budgeter.Hedge} {
+				var s scenario
+				s.run(t, purpose, events)
+				s.check(t)
 			}
-			assert.Assert(t, sum(s.retries) > scenarioSeconds, "%d retries", sum(s.retries))
 		})
 	}
 }
+
+// check compares the extra attempts in each window with the limit.
+func (s *scenario) check(t *testing.T) {
+	t.Helper()
+	const window = 10 * stepsPerSecond
+	for end := window; end <= len(s.sent); end++ {
+		allowed := testConfig.Ratio*float64(sum(s.sent[end-window:end])) + testConfig.FixedAllowance
+		retries := sum(s.retries[end-window : end])
+		assert.Assert(t, float64(retries) <= allowed, "%d extra attempts in the window that ends at step %d, allowed are %v", retries, end, allowed)
+	}
+	assert.Assert(t, sum(s.retries) > scenarioSeconds, "%d extra attempts", sum(s.retries))
+}
