Make TestChangeIsNotOlderThanLastContact fail when it should

Cause: the test passed although the time up to which the list is current was marked before a change was applied. A request that the reader had received before it stopped responding delivered the change at once, so no VM learned of it late. Change: the test waits until such requests are answered before it makes the change, and leaves out the reader itself; the assertion is unchanged.

--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -427,9 +427,12 @@
 	network.mu.Lock()
 	network.unresponsive[netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(slices.Index(names, reader))}), 80)] = true
 	network.mu.Unlock()
+	// The requests that the reader has already received are answered within 0.5 s. The next ones time out 1.2 s after they were sent.
+	time.Sleep(600 * time.Millisecond)
 	changed := time.Now()
 	p.put(kindObject, "a", "2")
 	waitForValue(t, sinks, "2")
+	delete(sinks, reader)
 	for vm, s := range sinks {
 		s.mu.Lock()
 		at := s.currentAtChange
