--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -90,8 +90,8 @@
 	b.vms = max(n, 1)
 }
 
-// SetShare sets this VM's fraction of FixedAllowance, 0 to 1. It expires after shareLifetime. Changes take effect gradually over
-// a window: until then other VMs may have used the difference.
+// SetShare sets this VM's fraction of FixedAllowance, 0 to 1. It expires after shareLifetime. For retries, changes take effect
+// gradually over a window: until then other VMs may have used the difference.
 func (b *Budgeter) SetShare(share float64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -293,7 +293,7 @@
 }
 
 // maxClockDifference is the largest difference between the clocks of two VMs that a report may show. A report from a later time is
-// dated to the time of its receipt.
+// ignored.
 const maxClockDifference = time.Second
 
 // Merge adds the reports of another VM.
