Reject responses whose status line is none

Callers received a backend server's response with the status 000: the gateway passed it on as 200, signed. Responses with the status 099, 600 or 999, of HTTP/0.9 or HTTP/2.0, with control bytes in the reason phrase or with an empty line before the status line were passed on too.

Cause: the HTTP library checks little of a response, and takes a status of 0 for 200. Change: package framer stands between the connections to backend servers and the library. It delimits the responses itself, as RFC 9112 says, and hands them on in one form, so that nothing depends on how lenient a parser is.

--- a/internal/connector/httpconn.go
+++ b/internal/connector/httpconn.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/anvildyke/anvildyke/internal/classifier"
+	"github.com/anvildyke/anvildyke/internal/framer"
 )
 
 // bufferSize is the size of read and write buffers in bytes. Most requests and responses fit, so that each takes one system call.
@@ -34,15 +35,19 @@
 
 // HTTPConn is an HTTP/1.1 connection to a backend server. It carries one exchange of a request and its response at a time.
 type HTTPConn struct {
-	stream   *stream
-	host     string
-	unusable atomic.Bool
+	stream *stream
+	// responses delimits the responses that are received on stream.
+	responses *framer.Conn
+	host      string
+	unusable  atomic.Bool
 }
 
 func newHTTPConn(c net.Conn, limit *bufferLimit) *HTTPConn {
+	s := newStream(c, limit)
 	return &HTTPConn{
-		stream: newStream(c, limit),
-		host:   c.RemoteAddr().String(),
+		stream:    s,
+		responses: framer.New(s),
+		host:      c.RemoteAddr().String(),
 	}
 }
 
@@ -75,7 +80,7 @@
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.Close()
 	})
-	excess, err := c.roundTrip(req, resp, matches)
+	err := c.roundTrip(req, resp, matches)
 	if !stop() {
 		c.unusable.Store(true)
 	}
@@ -83,35 +88,35 @@
 		return c.closeWithError(ctx, err)
 	}
 	// Bytes after the response would be read as the response to the next request.
-	if resp.ConnectionClose() || excess > 0 {
+	if resp.ConnectionClose() || c.responses.Excess() > 0 {
 		_ = c.Close()
 	}
 	return nil
 }
 
-// roundTrip writes req and reads the matching response. It returns the number of bytes that were received after the response.
-func (c *HTTPConn) roundTrip(req *fasthttp.Request, resp *fasthttp.Response, matches func(*fasthttp.Response) bool) (excess int, err error) {
+// roundTrip writes req and reads the matching response.
+func (c *HTTPConn) roundTrip(req *fasthttp.Request, resp *fasthttp.Response, matches func(*fasthttp.Response) bool) error {
 	if err := c.write(req); err != nil {
-		return 0, err
+		return err
 	}
 	br := readerPool.Get().(*bufio.Reader)
-	br.Reset(c.stream)
+	br.Reset(c.responses)
 	defer func() {
 		br.Reset(nil)
 		readerPool.Put(br)
 	}()
 	for range maxStaleResponses {
 		if err := resp.ReadLimitBody(br, MaxResponseBytes); err != nil {
-			return 0, err
+			return err
 		}
 		if matches == nil || matches(resp) {
-			return br.Buffered(), nil
+			return nil
 		}
 		if resp.ConnectionClose() {
 			break
 		}
 	}
-	return 0, errNoMatchingResponse
+	return errNoMatchingResponse
 }
 
 func (c *HTTPConn) write(req *fasthttp.Request) error {
--- /dev/null
+++ b/internal/framer/framer_test.go
@@ -0,0 +1,106 @@
+package framer_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/anvildyke/anvildyke/internal/framer"
+	"github.com/anvildyke/anvildyke/internal/standin/replayer"
+)
+
+// receivedBytes is a connection on which the bytes of a reader are received.
+type receivedBytes struct {
+	net.Conn
+	io.Reader
+}
+
+func (c receivedBytes) Read(p []byte) (int, error) {
+	return c.Reader.Read(p)
+}
+
+func newConn(r io.Reader) *framer.Conn {
+	return framer.New(receivedBytes{
+		Reader: r,
+	})
+}
+
+// Guards against results that depend on how the network splits a response or on the size of the reader's buffer.
+func TestSplitResponse(t *testing.T) {
+	responses, err := replayer.Responses()
+	assert.NilError(t, err)
+	for _, r := range responses {
+		t.Run(r.Name, func(t *testing.T) {
+			data := strings.Replace(r.Bytes, replayer.FieldMark, "", 1)
+			whole, wholeErr := io.ReadAll(newConn(strings.NewReader(data)))
+			for _, split := range []io.Reader{
+				newConn(iotest.OneByteReader(strings.NewReader(data))),
+				iotest.OneByteReader(newConn(strings.NewReader(data))),
+				iotest.OneByteReader(newConn(iotest.DataErrReader(strings.NewReader(data)))),
+			} {
+				got, err := io.ReadAll(split)
+				assert.Equal(t, string(got), string(whole))
+				assert.Equal(t, errors.Is(err, framer.ErrMalformed), errors.Is(wholeErr, framer.ErrMalformed), "%v, %v", err, wholeErr)
+			}
+		})
+	}
+}
+
+// Guards against a field of a malformed head that appears in the response on another connection.
+func TestMalformedHeadLeavesNothing(t *testing.T) {
+	for range 10 {
+		_, err := io.ReadAll(newConn(strings.NewReader("HTTP/1.1 200 OK\r\nLeft: a\r\nBad Name b\r\n\r\n")))
+		assert.ErrorIs(t, err, framer.ErrMalformed)
+		data, err := io.ReadAll(newConn(strings.NewReader("HTTP/1.1 204 X\r\nName: a\r\n\r\n")))
+		assert.NilError(t, err)
+		assert.Equal(t, string(data), "HTTP/1.1 204 X\r\nName: a\r\n\r\n")
+	}
+}
+
+// endless is a line of testdata/endless.txt.
+type endless struct {
+	start string
+	// part is repeated after start.
+	part string
+}
+
+func readEndless(t *testing.T) []endless {
+	t.Helper()
+	file, err := os.ReadFile("testdata/endless.txt")
+	assert.NilError(t, err)
+	var list []endless
+	for line := range strings.Lines(string(file)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		start, part, ok := strings.Cut(strings.TrimSpace(line), " | ")
+		assert.Assert(t, ok, line)
+		start, err = strconv.Unquote(`"` + start + `"`)
+		assert.NilError(t, err, line)
+		part, err = strconv.Unquote(`"` + part + `"`)
+		assert.NilError(t, err, line)
+		list = append(list, endless{
+			start: start,
+			part:  part,
+		})
+	}
+	return list
+}
+
+// Guards against heads, interim responses, chunk sizes and trailers without end that are read without limit.
+func TestEndlessHeads(t *testing.T) {
+	for _, e := range readEndless(t) {
+		r := strings.NewReader(e.start + strings.Repeat(e.part, (1<<20)/len(e.part)))
+		received := r.Len()
+		_, err := io.ReadAll(newConn(r))
+		assert.ErrorIs(t, err, framer.ErrMalformed, "%+v", e)
+		assert.Assert(t, received-r.Len() < 128<<10, "%+v: read %d bytes", e, received-r.Len())
+	}
+}
