Reject heads with a LF that ends no line

Callers received a body that was not the server's: with a LF before the name of a field, or two in a value, the body was the rest of the head, such as "Name: v\r\nContent-Length: 2\r\n\r\n{}". This is the reported control byte in the name of a field.

Cause: a single LF was taken for the end of a line beside lines that end with CRLF, and an empty line ends the head. Change: all lines of a head and of its trailers end like the status line.

--- a/internal/framer/framer.go
+++ b/internal/framer/framer.go
@@ -156,9 +156,10 @@
 func (c *Conn) nextChunk(b *chunkedBody) error {
 	r := &c.buf.heads
 	r.lines.left = maxHeadBytes
+	r.lines.end = crlf
 	r.out = r.out[:0]
 	if b.started {
-		line, err := r.lines.readStrict()
+		line, err := r.lines.read()
 		if err != nil {
 			return unexpectedEOF(err)
 		}
@@ -167,7 +168,7 @@
 		}
 		r.out = append(r.out, crlf...)
 	}
-	line, err := r.lines.readStrict()
+	line, err := r.lines.read()
 	if err != nil {
 		return unexpectedEOF(err)
 	}
--- a/internal/framer/head.go
+++ b/internal/framer/head.go
@@ -8,7 +8,10 @@
 	"strconv"
 )
 
-const crlf = "\r\n"
+const (
+	crlf = "\r\n"
+	lf   = "\n"
+)
 
 const (
 	statusSwitchingProtocols = 101
@@ -97,7 +100,7 @@
 
 // read reads one head. The error is io.EOF if the connection ends before its first byte.
 func (r *headReader) read() (*head, error) {
-	line, err := r.lines.read()
+	line, err := r.lines.readFirst()
 	if err != nil {
 		return nil, err
 	}
@@ -211,28 +214,24 @@
 	src *bufio.Reader
 	// left is the number of bytes that may still be read.
 	left int
+	// end is the end of all lines, CRLF or LF. A single LF between lines that end with CRLF would be an empty line, and so the end of the
+	// head, for some parsers, and a byte of a field for others.
+	end string
 }
 
-// read returns a line without its end, which is CRLF or LF. The line is valid until the next read.
-func (l *lineReader) read() ([]byte, error) {
-	line, err := l.readRaw()
-	return bytes.TrimSuffix(line, []byte("\r")), err
-}
-
-// readStrict is like read, but the line has to end with CRLF.
-func (l *lineReader) readStrict() ([]byte, error) {
-	line, err := l.readRaw()
-	if err != nil {
-		return nil, err
+// readFirst returns the first line of a head without its end. Its end becomes that of all lines.
+func (l *lineReader) readFirst() ([]byte, error) {
+	l.end = lf
+	line, err := l.read()
+	if line, ok := bytes.CutSuffix(line, []byte("\r")); ok {
+		l.end = crlf
+		return line, err
 	}
-	line, ok := bytes.CutSuffix(line, []byte("\r"))
-	if !ok {
-		return nil, malformed("a line ends without CRLF")
-	}
-	return line, nil
+	return line, err
 }
 
-func (l *lineReader) readRaw() ([]byte, error) {
+// read returns a line without its end. The line is valid until the next read.
+func (l *lineReader) read() ([]byte, error) {
 	line, err := l.src.ReadSlice('\n')
 	l.left -= len(line)
 	switch {
@@ -244,7 +243,10 @@
 		return nil, io.ErrUnexpectedEOF
 	case err != nil:
 		return nil, err
-	default:
-		return line[:len(line)-1], nil
 	}
+	line, ok := bytes.CutSuffix(line, []byte(l.end))
+	if !ok {
+		return nil, malformed("a line ends without CRLF")
+	}
+	return line, nil
 }
