Reject a switch of protocols that was not requested

Callers received status 101 as the response to their request; their client then waits for another protocol on the connection.

Cause: 101 was taken for a final response. The gateway forwards no Upgrade, so that no server may switch. Change: 101 is malformed, before another response too. Other interim responses are left out as before. Evidence: with the code before, "switch of protocols" fails in TestResponseForms and TestResponseFormsReachCallers (the caller receives 101), and "switch of protocols before a response" in TestResponseForms.

--- a/internal/framer/framer.go
+++ b/internal/framer/framer.go
@@ -133,6 +133,9 @@
 	r.lines.left = maxHeadBytes
 	h, err := r.read()
 	for err == nil && h.isInterim() {
+		if h.status == statusSwitchingProtocols {
+			return malformed("a switch of protocols that was not requested")
+		}
 		h, err = r.read()
 		err = unexpectedEOF(err)
 	}
--- a/internal/framer/head.go
+++ b/internal/framer/head.go
@@ -57,7 +57,7 @@
 }
 
 func (h *head) isInterim() bool {
-	return h.status < 200 && h.status != statusSwitchingProtocols
+	return h.status < 200
 }
 
 // selectBody returns the body that follows the head (RFC 9112, section 6.3).
@@ -74,7 +74,7 @@
 	case h.status == statusNoContent:
 		h.length = -1
 		return &sizedBody{}, nil
-	case h.status == statusNotModified, h.status == statusSwitchingProtocols:
+	case h.status == statusNotModified:
 		return &sizedBody{}, nil
 	case h.hasCodings:
 		h.length = -1
