Reject transfer codings in HTTP/1.0

Callers received the framing of the chunks as the body, "2\r\n{}\r\n0\r\n\r\n" instead of "{}", of a server that sends chunks with HTTP/1.0.

Cause: the coding was ignored because HTTP/1.0 has none. Change: the framing of such a response is faulty (RFC 9112, section 6.1), so it is malformed. Evidence: with the code before, "HTTP/1.0 with chunks" fails in TestResponseForms and TestResponseFormsReachCallers with that body.

--- a/internal/framer/head.go
+++ b/internal/framer/head.go
@@ -65,7 +65,7 @@
 	if h.hasCodings {
 		switch {
 		case h.minor == 0:
-			return unsizedBody{}, nil
+			return nil, malformed("HTTP/1.0 has no transfer codings")
 		case !isChunked(h.codings):
 			return nil, malformed("unknown transfer coding %q", h.codings)
 		}
