Reject responses with a length and a transfer coding

Callers received responses whose head states two ends of the body.

Cause: the length was ignored. Change: such a response is malformed. RFC 9112, section 6.3, says that it ought to be handled as an error: one of the two fields is not the server's own, or the bytes belong to two responses. Evidence: with the code before, "length and chunks" and "chunks and length" fail in TestResponseForms and TestResponseFormsReachCallers.

--- a/internal/framer/head.go
+++ b/internal/framer/head.go
@@ -66,6 +66,8 @@
 		switch {
 		case h.minor == 0:
 			return nil, malformed("HTTP/1.0 has no transfer codings")
+		case h.length >= 0:
+			return nil, malformed("both a length and a transfer coding")
 		case !isChunked(h.codings):
 			return nil, malformed("unknown transfer coding %q", h.codings)
 		}
@@ -77,7 +79,6 @@
 	case h.status == statusNotModified:
 		return &sizedBody{}, nil
 	case h.hasCodings:
-		h.length = -1
 		return &chunkedBody{}, nil
 	case h.length >= 0:
 		return &sizedBody{
