Close connections after status 204 with a body that is announced

A connection was used again after status 204 with a length above zero. The body may follow, and is then read as the next response.

Cause: the length of such a response does not count, and nothing else was derived from it. Change: the response passes, without a body, and its connection is closed. Status 204 with a length of zero keeps the connection. Evidence: with the code before, "status 204 with a length" fails in TestResponseForms: the connection is usable.

--- a/internal/framer/head.go
+++ b/internal/framer/head.go
@@ -54,6 +54,8 @@
 	hasCodings bool
 	// keepAlive is true if the server states that it keeps the connection open.
 	keepAlive bool
+	// mustClose is true if the connection must not be used after the response.
+	mustClose bool
 }
 
 func (h *head) isInterim() bool {
@@ -74,6 +76,8 @@
 	}
 	switch {
 	case h.status == statusNoContent:
+		// The server may send the announced body nevertheless.
+		h.mustClose = h.hasCodings || h.length > 0
 		h.length = -1
 		return &sizedBody{}, nil
 	case h.status == statusNotModified:
@@ -197,7 +201,7 @@
 		r.out = strconv.AppendInt(r.out, h.length, 10)
 		r.out = append(r.out, crlf...)
 	}
-	if h.minor == 0 && !h.keepAlive {
+	if h.mustClose || h.minor == 0 && !h.keepAlive {
 		r.out = append(r.out, "Connection: close\r\n"...)
 	}
 	r.out = append(r.out, crlf...)
