Do not take trailers for fields of the head

A trailer with the name of a field that the gateway reads counted as that field: a signature, the statement that the request has not run, a request ID. Callers received trailers as fields of the response.

Cause: the HTTP library returns trailers with the fields of the head. Change: trailers are checked and left out. RFC 9110, section 6.5.1, forbids to merge them and allows to discard them.

--- a/internal/framer/framer.go
+++ b/internal/framer/framer.go
@@ -28,8 +28,8 @@
 }
 
 // Conn is the client's end of an HTTP/1.1 connection. Read returns well-formed responses only, and every response in one form, so that
-// all parsers agree on it: its lines end with CRLF, each field is on one line, its length is stated once, and interim responses and
-// chunk extensions are left out. Errors wrap ErrMalformed or are those of the underlying connection; after an error all reads
+// all parsers agree on it: its lines end with CRLF, each field is on one line, its length is stated once, and interim responses, chunk
+// extensions and trailers are left out. Errors wrap ErrMalformed or are those of the underlying connection; after an error all reads
 // fail. Reads must not run concurrently.
 type Conn struct {
 	net.Conn
@@ -182,7 +182,7 @@
 	r.out = strconv.AppendInt(r.out, b.remaining, 16)
 	r.out = append(r.out, crlf...)
 	if b.remaining == 0 {
-		if err := r.readTrailers(); err != nil {
+		if err := r.skipTrailers(); err != nil {
 			return unexpectedEOF(err)
 		}
 		r.out = append(r.out, crlf...)
--- a/internal/framer/head.go
+++ b/internal/framer/head.go
@@ -207,11 +207,15 @@
 	r.out = append(r.out, crlf...)
 }
 
-// readTrailers reads the trailers up to the empty line.
-func (r *headReader) readTrailers() error {
-	return r.readFields(&head{
+// skipTrailers reads the trailers up to the empty line and leaves them out: parsers may take them for fields of the head, which they
+// must not be (RFC 9110, section 6.5.1).
+func (r *headReader) skipTrailers() error {
+	n := len(r.out)
+	err := r.readFields(&head{
 		length: -1,
 	})
+	r.out = r.out[:n]
+	return err
 }
 
 // lineReader reads lines of at most bufferSize bytes.
