Read chunk extensions as RFC 9112 defines them

Responses with blanks before the semicolon of a chunk extension failed although they are valid, and those with control bytes in an extension passed.

Cause: the HTTP library skips all bytes up to the end of the line, but only if the semicolon follows the size at once. Change: blanks around the parts of an extension are skipped, control bytes are malformed. Evidence: with the code before, "blanks around a chunk extension", "control byte in a chunk extension" and "CR in a chunk extension" fail in TestResponseForms and TestResponseFormsReachCallers.

--- a/internal/framer/syntax.go
+++ b/internal/framer/syntax.go
@@ -88,12 +88,9 @@
 
 // parseChunkSize returns the size in the first line of a chunk. Extensions are ignored.
 func parseChunkSize(line []byte) (int64, error) {
-	size, _, extended := bytes.Cut(line, []byte(";"))
-	if !extended {
-		size = bytes.TrimRight(size, " \t")
-	}
-	n, err := parseNumber(size, 16)
-	if err != nil {
+	size, extension, _ := bytes.Cut(line, []byte(";"))
+	n, err := parseNumber(bytes.TrimRight(size, " \t"), 16)
+	if err != nil || !isFieldValue(extension) {
 		return 0, malformed("the first line of a chunk is %q", line)
 	}
 	return n, nil
