Wait for no body of a response to HEAD

Callers that sent HEAD received 504 at their deadline if the server states the length of the body, as it should.

Cause: the connection to the server waited for a body of that length. Change: the response to HEAD ends with its head, whatever length it states.

--- a/internal/connector/forms_test.go
+++ b/internal/connector/forms_test.go
@@ -14,8 +14,8 @@
 	"github.com/anvildyke/anvildyke/internal/standin/replayer"
 )
 
-// exchange sends a GET request to the address and returns the response and whether the connection may be used again.
-func exchange(t *testing.T, s *replayer.Server) (*fasthttp.Response, bool, error) {
+// exchange sends a request with the method to the address and returns the response and whether the connection may be used again.
+func exchange(t *testing.T, s *replayer.Server, method string) (*fasthttp.Response, bool, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
@@ -24,6 +24,7 @@
 	defer c.Close()
 	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
 	req.SetRequestURI("http://backend.example/")
+	req.Header.SetMethod(method)
 	err = c.Exchange(ctx, req, resp, nil)
 	return resp, c.Usable(), err
 }
@@ -39,7 +40,7 @@
 			s, err := replayer.Serve(r, "")
 			assert.NilError(t, err)
 			defer s.Close()
-			resp, usable, err := exchange(t, s)
+			resp, usable, err := exchange(t, s, fasthttp.MethodGet)
 			if r.Malformed {
 				code := classifier.CodeOf(err)
 				assert.Assert(t, code == classifier.BadAnswer || r.Closes && code == classifier.ConnectionReset, "%v", err)
@@ -56,3 +57,18 @@
 		})
 	}
 }
+
+// Guards against a response to HEAD that is waited for because it states the length of a body which it does not have.
+func TestResponseToHeadHasNoBody(t *testing.T) {
+	for _, fields := range []string{"Content-Length: 5", "Transfer-Encoding: chunked"} {
+		s, err := replayer.Serve(replayer.Response{
+			Bytes: "HTTP/1.1 200 OK\r\n<F>\r\n",
+		}, fields)
+		assert.NilError(t, err)
+		defer s.Close()
+		resp, _, err := exchange(t, s, fasthttp.MethodHead)
+		assert.NilError(t, err, fields)
+		assert.Equal(t, resp.StatusCode(), fasthttp.StatusOK)
+		assert.Equal(t, string(resp.Body()), "")
+	}
+}
--- a/internal/connector/httpconn.go
+++ b/internal/connector/httpconn.go
@@ -105,6 +105,8 @@
 		br.Reset(nil)
 		readerPool.Put(br)
 	}()
+	resp.SkipBody = req.Header.IsHead()
+	c.responses.ExpectHeadOnly(resp.SkipBody)
 	for range maxStaleResponses {
 		if err := resp.ReadLimitBody(br, MaxResponseBytes); err != nil {
 			return err
--- a/internal/framer/framer.go
+++ b/internal/framer/framer.go
@@ -33,6 +33,8 @@
 // fail. Reads must not run concurrently.
 type Conn struct {
 	net.Conn
+	// headOnly is true if responses have no body because their requests have the method HEAD.
+	headOnly bool
 	// buf is nil between responses, so that idle connections hold no buffers.
 	buf *buffers
 	// pending is the part of buf.heads.out that Read has not returned yet.
@@ -70,6 +72,11 @@
 	}
 }
 
+// ExpectHeadOnly sets whether the next responses belong to HEAD requests. Such a response has no body, whatever length it states.
+func (c *Conn) ExpectHeadOnly(headOnly bool) {
+	c.headOnly = headOnly
+}
+
 // Excess returns the number of bytes that were received after the end of the last response.
 func (c *Conn) Excess() int {
 	if c.buf == nil || c.body != nil {
@@ -142,7 +149,7 @@
 	if err != nil {
 		return err
 	}
-	b, err := h.selectBody()
+	b, err := h.selectBody(c.headOnly)
 	if err != nil {
 		return err
 	}
--- a/internal/framer/head.go
+++ b/internal/framer/head.go
@@ -63,7 +63,7 @@
 }
 
 // selectBody returns the body that follows the head (RFC 9112, section 6.3).
-func (h *head) selectBody() (body, error) {
+func (h *head) selectBody(headOnly bool) (body, error) {
 	if h.hasCodings {
 		switch {
 		case h.minor == 0:
@@ -80,7 +80,7 @@
 		h.mustClose = h.hasCodings || h.length > 0
 		h.length = -1
 		return &sizedBody{}, nil
-	case h.status == statusNotModified:
+	case headOnly, h.status == statusNotModified:
 		return &sizedBody{}, nil
 	case h.hasCodings:
 		return &chunkedBody{}, nil
