--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 # Searches for inputs that break the decoders of outside bytes. go test runs one fuzz target at a time.
 FUZZ_TIME := 1m
 FUZZ_TARGETS := platform:FuzzSettings platform:FuzzStoreObjects platform:FuzzReplyHeaders internal/parser:FuzzDecode \
-	internal/messenger:FuzzDecodePayload internal/publisher:FuzzDecodeHead internal/connector:FuzzResponse
+	internal/messenger:FuzzDecodePayload internal/publisher:FuzzDecodeHead internal/connector:FuzzResponse \
+	internal/framer:FuzzResponse
 fuzz: build
 	set -e; for t in $(FUZZ_TARGETS); do \
 		TEST_BIN_DIR=$(BIN) go test -run '^$$' -fuzz "^$${t#*:}$$" -fuzztime $(FUZZ_TIME) "./$${t%:*}"; \
--- a/internal/framer/framer_test.go
+++ b/internal/framer/framer_test.go
@@ -1,15 +1,19 @@
 package framer_test
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
 	"testing"
 	"testing/iotest"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"github.com/anvildyke/anvildyke/internal/framer"
@@ -104,3 +108,28 @@
 		assert.Assert(t, received-r.Len() < 128<<10, "%+v: read %d bytes", e, received-r.Len())
 	}
 }
+
+// Guards against bytes that make the process panic, and against responses that two HTTP parsers read differently.
+func FuzzResponse(f *testing.F) {
+	responses, err := replayer.Responses()
+	assert.NilError(f, err)
+	for _, r := range responses {
+		f.Add([]byte(strings.Replace(r.Bytes, replayer.FieldMark, "", 1)))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := newConn(bytes.NewReader(data))
+		resp := &fasthttp.Response{}
+		// Without a limit, the library allocates as many bytes as a chunk states.
+		if resp.ReadLimitBody(bufio.NewReader(c), 1<<20) != nil {
+			return
+		}
+		assert.Assert(t, resp.StatusCode() >= 200 && resp.StatusCode() <= 599, "%d", resp.StatusCode())
+		other, err := http.ReadResponse(bufio.NewReader(newConn(bytes.NewReader(data))), nil)
+		assert.NilError(t, err)
+		defer other.Body.Close()
+		body, err := io.ReadAll(other.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, other.StatusCode, resp.StatusCode())
+		assert.DeepEqual(t, string(body), string(resp.Body()))
+	})
+}
