Send no request to the platform after bytes that belong to no response

A second copy of a response of the platform was taken for the response to the next call on the connection: a read returned another object.

Cause: the HTTP client does not look at connections that it uses again. Change: before the first byte of a request, the connection must have nothing to read. The call fails, or is repeated on another connection if it is a read of the own platform API. A copy that arrives after the next request was written cannot be told apart, because responses of the platform state no ID. The check ignores read deadlines: that of the call before may have passed.

--- a/internal/connector/stream.go
+++ b/internal/connector/stream.go
@@ -75,14 +75,13 @@
 }
 
 // CheckIdle returns an error if the peer has closed the connection (io.EOF for an orderly close) or if unread bytes have been
-// received (ErrUnexpectedData). It neither blocks nor consumes bytes.
+// received (ErrUnexpectedData). It neither blocks nor consumes bytes, and read deadlines do not apply to it.
 func CheckIdle(c syscall.RawConn) error {
 	var n int
 	var peekErr error
-	err := c.Read(func(fd uintptr) bool {
+	err := c.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
 	})
 	switch {
 	case err != nil:
--- a/internal/storeclient/http.go
+++ b/internal/storeclient/http.go
@@ -60,9 +60,9 @@
 			RetryIfErr: func(req *fasthttp.Request, _ int, _ error) (bool, bool) {
 				return false, req.Header.IsGet()
 			},
-			Dial: func(a string) (net.Conn, error) {
+			Dial: CheckResponses(func(a string) (net.Conn, error) {
 				return dialer.DialTimeout(a, timeout)
-			},
+			}),
 		},
 	}
 }
