Reject malformed responses of the platform

A write to the platform counted as acknowledged, and a read returned an object, after a response with the status 000. The other malformed responses that backend servers may send were accepted as well, and good ones in an unusual form were rejected.

A malformed response is ErrUnavailable, after which a write may have taken effect.

--- a/internal/storeclient/conn.go
+++ b/internal/storeclient/conn.go
@@ -8,19 +8,20 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/anvildyke/anvildyke/internal/connector"
+	"github.com/anvildyke/anvildyke/internal/framer"
 )
 
-// conn is a connection to the platform, which carries one request at a time. A request is not sent after bytes that belong to no
-// response: HostClient would take them for its response.
+// conn is a connection to the platform, which carries one request at a time. Its reads return well-formed responses only. A request is
+// not sent after bytes that belong to no response: HostClient would take them for its response.
 type conn struct {
-	net.Conn
+	*framer.Conn
 	raw syscall.RawConn
 	// answered is true if bytes have been read since the last write, so that the next write begins a request.
 	answered bool
 }
 
-// CheckResponses returns a function that opens TCP connections with dial and fails requests on them after bytes that belong to no
-// response. Every HostClient that is passed to DoRequest needs it.
+// CheckResponses returns a function that opens TCP connections with dial and checks the responses received on them. Every HostClient
+// that is passed to DoRequest needs it.
 func CheckResponses(dial fasthttp.DialFunc) fasthttp.DialFunc {
 	return func(addr string) (net.Conn, error) {
 		c, err := dial(addr)
@@ -33,7 +34,7 @@
 			return nil, err
 		}
 		return &conn{
-			Conn: c,
+			Conn: framer.New(c),
 			raw:  raw,
 		}, nil
 	}
@@ -55,6 +56,9 @@
 
 func (c *conn) Write(p []byte) (int, error) {
 	if c.answered {
+		if c.Excess() > 0 {
+			return 0, connector.ErrUnexpectedData
+		}
 		if err := connector.CheckIdle(c.raw); err != nil {
 			return 0, fmt.Errorf("the idle connection cannot be used again: %w", err)
 		}
--- a/internal/storeclient/forms_test.go
+++ b/internal/storeclient/forms_test.go
@@ -14,11 +14,43 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/anvildyke/anvildyke/internal/standin/replayer"
 	"github.com/anvildyke/anvildyke/internal/storeclient"
 )
 
 const timeout = 2 * time.Second
 
+// Guards against writes that count as acknowledged, and reads that return an object, although the platform has sent a malformed
+// response, and against good responses in an unusual form that are rejected.
+func TestResponseForms(t *testing.T) {
+	responses, err := replayer.Responses()
+	assert.NilError(t, err)
+	for _, r := range responses {
+		t.Run(r.Name, func(t *testing.T) {
+			t.Parallel()
+			s, err := replayer.Serve(r, "")
+			assert.NilError(t, err)
+			defer s.Close()
+			store := storeclient.NewHTTPStore(s.Address(), netip.Addr{}, timeout)
+			o := storeclient.Object{
+				Kind:    "Lease",
+				Name:    "a",
+				Version: 1,
+			}
+			_, getErr := store.Get(t.Context(), o.Kind, o.Name)
+			_, updateErr := store.Update(t.Context(), o)
+			switch {
+			case r.Malformed:
+				assert.ErrorIs(t, getErr, storeclient.ErrUnavailable)
+				assert.ErrorIs(t, updateErr, storeclient.ErrUnavailable)
+			case r.Status == http.StatusOK && r.Body == "{}" && r.Reusable:
+				assert.NilError(t, getErr)
+				assert.NilError(t, updateErr)
+			}
+		})
+	}
+}
+
 // copyingStore is a stand-in for the platform that sends a second copy of each response. Its objects have the requested name.
 type copyingStore struct {
 	listener net.Listener
