Fail commands that receive a malformed response

Commands reported success, or printed what they had received, after malformed responses of a VM: among others with the status 000 or with blanks in the names of fields. After status 101 a command did not end at all.

Cause: net/http accepts them, and does not bound the time of a connection that has switched protocols. Change: the connections of the command line are framed like those to backend servers. Evidence: with the code before, TestResponseForms of package factory does not end within 40 s because of "switch of protocols"; without that line 31 others fail.

--- a/internal/command/factory/factory.go
+++ b/internal/command/factory/factory.go
@@ -11,6 +11,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -21,6 +22,7 @@
 
 	"github.com/anvildyke/anvildyke/internal/administrator"
 	"github.com/anvildyke/anvildyke/internal/configurer"
+	"github.com/anvildyke/anvildyke/internal/framer"
 	"github.com/anvildyke/anvildyke/internal/timer"
 )
 
@@ -99,13 +101,29 @@
 		In:              stdin,
 		Out:             stdout,
 		Err:             stderr,
-		Client:          &http.Client{},
+		Client:          newClient(),
 		Timer:           timer.NewWall(),
 		OperatorAddress: "127.0.0.1:7200",
 		CallerAddress:   "127.0.0.1:7100",
 	}
 }
 
+// newClient returns an HTTP client that fails on malformed responses.
+func newClient() *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return framer.New(c), nil
+	}
+	return &http.Client{
+		Transport: transport,
+	}
+}
+
 // FlagSet returns a flag set with the common flags. Every command has them, so that they are accepted before and after its name.
 func (f *Factory) FlagSet(name string) *flag.FlagSet {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
