Pass on no forwarded reply that is no response to its request

While the availability zone of a VM is out, callers received whatever another VM returned for their forwarded request: a reply with the status 0 as 200, with a status that does not exist, without a body, or for another request. The client of an operation took it for the outcome.

Cause: the status and the body of the reply were passed on without a check. Change: the status has to be one of a final response and the body has to state the ID of the request. Otherwise a search fails with BadAnswer and an operation with OutcomeUnknown. Evidence: with the code before, TestForwardedReplies fails at its first line (200 OK for the status 0).

--- a/internal/responder/query.go
+++ b/internal/responder/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -245,6 +246,9 @@
 	}, resp)
 	if err == nil {
 		r.opts.Recorder.Observe(resp.Stamp)
+		err = checkForwarded(resp, q.id)
+	}
+	if err == nil {
 		return reply{
 			status: resp.HTTPStatus,
 			body:   resp.Body,
@@ -260,6 +264,26 @@
 	return q.errorReply(classifier.Errorf(code, "the availability zone of this VM is out of service and forwarding the request to %s failed with %s", member.Name, classifier.CodeOf(err)))
 }
 
+// checkForwarded returns an error with the code BadAnswer unless the reply of another VM is a response to the request with the ID.
+func checkForwarded(resp *messenger.QueryReply, id string) error {
+	var h struct {
+		RequestID string
+	}
+	if resp.HTTPStatus < fasthttp.StatusOK || resp.HTTPStatus > maxStatus {
+		return classifier.Errorf(classifier.BadAnswer, "the forwarded request was answered with the status %d", resp.HTTPStatus)
+	}
+	if err := json.Unmarshal(resp.Body, &h); err != nil {
+		return classifier.Errorf(classifier.BadAnswer, "the response to the forwarded request cannot be decoded: %w", err)
+	}
+	if h.RequestID != id {
+		return classifier.Errorf(classifier.BadAnswer, "the response to the forwarded request belongs to the request %q", h.RequestID)
+	}
+	return nil
+}
+
+// maxStatus is the greatest valid HTTP status.
+const maxStatus = 599
+
 // RPCService is the net/rpc receiver of the methods that other entry VMs call to forward requests to this VM.
 type RPCService struct {
 	r *Responder
--- a/internal/responder/responder_test.go
+++ b/internal/responder/responder_test.go
@@ -5,10 +5,13 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -26,14 +29,16 @@
 	"gotest.tools/v3/assert"
 )
 
-// fakeVM implements Searcher, Claimer and messenger.Client with fixed results and keeps the last request. Call passes requests
-// to peer. If block is set, Search closes started and then waits until block is closed.
+// fakeVM implements Searcher, Claimer and messenger.Client with fixed results and keeps the last request. Call returns forwarded if it is
+// set, with ID replaced in its body, and otherwise passes requests to peer. If block is set, Search closes started and then waits until
+// block is closed.
 type fakeVM struct {
 	block         chan struct{}
 	started       chan struct{}
 	lastSearch    searcher.Request
 	lastOperation claimer.Request
 	peer          *RPCService
+	forwarded     *messenger.QueryReply
 }
 
 func (v *fakeVM) Search(_ context.Context, req searcher.Request) searcher.Response {
@@ -82,6 +87,13 @@
 }
 
 func (v *fakeVM) Call(_ context.Context, _ netip.AddrPort, method string, args, reply any) error {
+	if v.forwarded != nil {
+		*reply.(*messenger.QueryReply) = messenger.QueryReply{
+			HTTPStatus: v.forwarded.HTTPStatus,
+			Body:       bytes.ReplaceAll(v.forwarded.Body, []byte(`"ID"`), []byte(`"`+args.(*messenger.QueryRequest).RequestID+`"`)),
+		}
+		return nil
+	}
 	if v.peer == nil || method != messenger.MethodQuery {
 		return classifier.Errorf(classifier.NotSent, "refused")
 	}
@@ -282,6 +294,32 @@
 	assert.Equal(t, a.CodeName, "NotReady")
 }
 
+// Guards against the reply of another VM that reaches the caller although it is no response to the forwarded request.
+func TestForwardedReplies(t *testing.T) {
+	v := &fakeVM{}
+	url := serve(t, newResponder(testBoard(blackboard.PhaseZoneOut), v))
+	file, err := os.ReadFile("testdata/forwarded.txt")
+	assert.NilError(t, err)
+	for line := range strings.Lines(string(file)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		given, want, ok := strings.Cut(strings.TrimSpace(line), " -> ")
+		assert.Assert(t, ok, line)
+		status, body, _ := strings.Cut(given, " ")
+		n, err := strconv.Atoi(status)
+		assert.NilError(t, err, line)
+		v.forwarded = &messenger.QueryReply{
+			HTTPStatus: n,
+			Body:       []byte(body),
+		}
+		search := post(t, url+"/v1/search/app/find", "q")
+		operation := post(t, url+"/v1/operations/app/hold", "q", HeaderOperationID, "id", HeaderKey, "room")
+		assert.Equal(t, fmt.Sprintf("%d %s, %d %s", search.status, search.CodeName, operation.status, operation.CodeName), want, line)
+		assert.Assert(t, !operation.NotRun)
+	}
+}
+
 // Guards against a shutdown that aborts running requests or waits for idle connections.
 func TestShutdownFinishesRunningRequests(t *testing.T) {
 	v := &fakeVM{
