Treat responses with the IDs of two requests as responses to neither

Cause: only the first field of a name was read. Two different values mean that the head contains parts of two responses. Equal values count once.

--- a/internal/connector/http.go
+++ b/internal/connector/http.go
@@ -122,7 +122,7 @@
 	if err := c.Exchange(ctx, req, resp, nil); err != nil {
 		return err
 	}
-	if string(resp.Header.Peek(HeaderRequestID)) != id {
+	if ids := DistinctValues(resp, HeaderRequestID); len(ids) != 1 || ids[0] != id {
 		return c.badAnswer("the response of %s belongs to another request", c.host)
 	}
 	if status := resp.StatusCode(); status != fasthttp.StatusOK {
@@ -135,6 +135,17 @@
 	return nil
 }
 
+// DistinctValues returns the values of a field in the order of the response, without those that equal the first one.
+func DistinctValues(resp *fasthttp.Response, name string) []string {
+	var values []string
+	for _, v := range resp.Header.PeekAll(name) {
+		if len(values) == 0 || string(v) != values[0] {
+			values = append(values, string(v))
+		}
+	}
+	return values
+}
+
 func (c *apiConn) prepare(ctx context.Context, req *fasthttp.Request, path, id string, in any) error {
 	req.Header.SetHost(c.host)
 	req.SetRequestURI(path)
--- a/internal/connector/http_test.go
+++ b/internal/connector/http_test.go
@@ -125,6 +125,11 @@
 			writeResponse(c, 200, "q0", "", validBody)
 			waitForClose(c)
 		}, classifier.BadAnswer, false},
+		{"response to two requests", func(c net.Conn) {
+			writeResponse(c, 200, readRequest(c), "Request-Id: q0\r\n", validBody)
+			waitForClose(c)
+		}, classifier.BadAnswer, false},
+		{"request ID stated twice", reply(200, "Request-Id: q1\r\n", validBody), classifier.OK, true},
 		{"refusal of another request", func(c net.Conn) {
 			readRequest(c)
 			writeResponse(c, 503, "q0", "Refusal: Shed\r\n", "")
