--- a/review/standin2/consumer.go
+++ b/review/standin2/consumer.go
@@ -21,9 +21,8 @@
 
 // get sends a request on a new connection.
 func (d *deployment) get(g *gateway, path string) answer {
-	d.requests++
 	a := answer{
-		id:   fmt.Sprintf("%016x", d.requests),
+		id:   fmt.Sprintf("%016x", d.requests.Add(1)),
 		sent: time.Now(),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,7 +26,7 @@
 	replicas []*replica
 	gateways []*gateway
 	// requests is the number of requests that were sent.
-	requests int
+	requests atomic.Int64
 }
 
 func newDeployment(recordPath string) (*deployment, error) {
@@ -49,8 +50,8 @@
 }
 
 // addReplica starts a replica and registers it.
-func (d *deployment) addReplica(service, id, zone string) (*replica, error) {
-	r, err := startReplica(d.rec, service, id, zone)
+func (d *deployment) addReplica(service, version, id, zone string) (*replica, error) {
+	r, err := startReplica(d.rec, service, version, id, zone)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -18,7 +18,8 @@
 // cases maps the names of the cases to their functions, which return a description of how the rule was broken, or "". With trouble, the
 // case has its disruption.
 var cases = map[string]func(d *deployment, trouble bool) (string, error){
-	"restore": playRestore,
+	"restore":  playRestore,
+	"rollback": playRollback,
 }
 
 func main() {
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -13,6 +13,7 @@
 	id       string
 	service  string
 	zone     string
+	version  string
 	listener net.Listener
 	server   *http.Server
 	born     int64
@@ -20,7 +21,7 @@
 	work time.Duration
 }
 
-func startReplica(rec *record, service, id, zone string) (*replica, error) {
+func startReplica(rec *record, service, version, id, zone string) (*replica, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -30,6 +31,7 @@
 		id:       id,
 		service:  service,
 		zone:     zone,
+		version:  version,
 		listener: l,
 		born:     time.Now().UnixMilli(),
 		work:     5 * time.Millisecond,
@@ -52,7 +54,7 @@
 		"service":           r.service,
 		"address":           r.listener.Addr().String(),
 		"zone":              r.zone,
-		"version":           "v1",
+		"version":           r.version,
 		"slots":             3,
 		"state":             state,
 		"cold-remaining-ms": 0,
@@ -74,7 +76,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	r.rec.add("replica %s of %s runs %s %s", r.id, r.service, id, req.URL.Path)
+	r.rec.add("replica %s of %s %s runs %s %s", r.id, r.service, r.version, id, req.URL.Path)
 	time.Sleep(r.work)
 	w.Header().Set("Server-Stamp", fmt.Sprintf("stamp.%s.%s", r.id, id))
 	_, _ = fmt.Fprintf(w, "%s\n", r.service)
--- a/review/standin2/restore.go
+++ b/review/standin2/restore.go
@@ -21,7 +21,7 @@
 	services := []string{"ledger-a", "ledger-b"}
 	for i, service := range services {
 		for j, zone := range []string{"randstad-a", "oost-a"} {
-			if _, err := d.addReplica(service, fmt.Sprintf("i-%d%d", i, j), zone); err != nil {
+			if _, err := d.addReplica(service, "v1", fmt.Sprintf("i-%d%d", i, j), zone); err != nil {
 				return "", err
 			}
 		}
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -120,6 +120,22 @@
 	s.write(kind, o, false)
 }
 
+// remove deletes an object, as the store does when an entry has expired.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, ok := s.now.kinds[kind][name]; ok {
+		s.write(kind, o, true)
+	}
+}
+
+// status returns the status of an object, "" if it has none.
+func (s *store) status(kind, name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.now.kinds[kind][name].Status)
+}
+
 // write stores or deletes an object under the next revision.
 func (s *store) write(kind string, o object, deleted bool) {
 	s.now.revision++
@@ -143,7 +159,7 @@
 		Object:   o,
 		Deleted:  deleted,
 	})
-	s.rec.add("store era %d revision %d: %s/%s deleted=%t", s.era, s.now.revision, kind, o.Meta.Name, deleted)
+	s.rec.add("store era %d revision %d: %s/%s deleted=%t status=%s", s.era, s.now.revision, kind, o.Meta.Name, deleted, o.Status)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
