--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -62,8 +62,9 @@
 
 // startGateways starts a gateway in each zone and waits until all are ready.
 func (d *deployment) startGateways() error {
+	taken := map[string]bool{}
 	for _, zone := range []string{"randstad-a", "oost-a", "zuid-a"} {
-		g, err := newGateway(zone)
+		g, err := newGateway(zone, taken)
 		if err != nil {
 			return err
 		}
--- a/review/standin2/gateway.go
+++ b/review/standin2/gateway.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,25 +33,40 @@
 	ended chan struct{}
 }
 
-// freeAddress returns a loopback address with a port that was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// The ports of gateways are below those that the kernel gives to outgoing connections, which could take a port between the check and the
+// start of the gateway.
+const (
+	firstPort = 20000
+	ports     = 12000
+	attempts  = 100
+)
+
+var errNoPort = errors.New("no free port was found")
+
+// freeAddress returns a loopback address with a port that is free and not in taken, and adds it to taken.
+func freeAddress(taken map[string]bool) (string, error) {
+	for range attempts {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		l, err := net.Listen("tcp", address)
+		if err != nil || taken[address] {
+			if err == nil {
+				_ = l.Close()
+			}
+			continue
+		}
+		taken[address] = true
+		return address, l.Close()
 	}
-	defer func() {
-		_ = l.Close()
-	}()
-	return l.Addr().String(), nil
+	return "", errNoPort
 }
 
-func newGateway(zone string) (*gateway, error) {
+func newGateway(zone string, taken map[string]bool) (*gateway, error) {
 	g := &gateway{
 		name: "frontend-" + zone + "-1",
 		zone: zone,
 	}
 	for _, a := range []*string{&g.front, &g.ready, &g.control} {
-		address, err := freeAddress()
+		address, err := freeAddress(taken)
 		if err != nil {
 			return nil, err
 		}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -19,6 +19,7 @@
 // case has its disruption.
 var cases = map[string]func(d *deployment, trouble bool) (string, error){
 	"restore":  playRestore,
+	"reuse":    playReuse,
 	"rollback": playRollback,
 }
 
--- a/review/standin2/rollback.go
+++ b/review/standin2/rollback.go
@@ -79,7 +79,7 @@
 	if trouble {
 		m.d.store.goAway()
 		time.Sleep(awayTime)
-		if err := m.d.store.comeBack(); err != nil {
+		if err := m.d.store.comeBack(func() {}); err != nil {
 			return "", err
 		}
 	}
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -179,8 +179,9 @@
 	_ = s.server.Close()
 }
 
-// comeBack serves the copy under the next era. The operator and the replicas then write again what they wrote since.
-func (s *store) comeBack() error {
+// comeBack serves the copy under the next era. The operator and the replicas first write again what they wrote since, and then what they
+// could not write while the store was away.
+func (s *store) comeBack(delayed func()) error {
 	l, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return err
@@ -194,6 +195,7 @@
 		s.write(c.kind, c.Object, false)
 	}
 	s.mu.Unlock()
+	delayed()
 	s.serve(l)
 	return nil
 }
