--- a/internal/storeclient/exchange.go
+++ b/internal/storeclient/exchange.go
@@ -8,9 +8,10 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Response is the platform's response to one HTTP request. The body belongs to the caller of DoRequest.
+// Response is the platform's response to one HTTP request. It belongs to the caller of DoRequest.
 type Response struct {
 	Status int
+	Header *fasthttp.ResponseHeader
 	Body   []byte
 }
 
@@ -57,9 +58,12 @@
 	defer fasthttp.ReleaseResponse(resp)
 	e.prepare(req)
 	err := e.client.DoDeadline(req, resp, e.deadline)
+	header := &fasthttp.ResponseHeader{}
+	resp.Header.CopyTo(header)
 	e.done <- exchangeResult{
 		response: Response{
 			Status: resp.StatusCode(),
+			Header: header,
 			Body:   append([]byte(nil), resp.Body()...),
 		},
 		err: err,
--- a/internal/syncer/changelog.go
+++ b/internal/syncer/changelog.go
@@ -44,7 +44,7 @@
 	outage bool
 	// currentAt is the last time at which the objects were known to contain all changes, the zero time if that is unknown.
 	currentAt time.Time
-	revision  uint64
+	position  storeclient.Position
 	objects   map[string]storeclient.Item
 	// history contains the most recent changes, the oldest first. baseRevision is the revision of the log before the first of them.
 	history      []storeclient.Batch
@@ -64,33 +64,36 @@
 	}
 }
 
-// Revision returns the revision of the log, and false until a list has been received.
-func (l *ChangeLog) Revision() (uint64, bool) {
+// Position returns the position of the log in the platform's history, and false until a list has been received.
+func (l *ChangeLog) Position() (storeclient.Position, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.revision, l.synced
+	return l.position, l.synced
 }
 
-// Replace replaces the objects by a whole list unless the log has a newer revision. The difference from the previous objects is
-// added to the history, so that VMs that sync from this VM receive the changes instead of the whole list.
-func (l *ChangeLog) Replace(b storeclient.Batch) {
+// Replace replaces the objects by a whole list. It changes nothing and returns false if the log is at a later position. The difference
+// from the previous objects is added to the history, so that VMs that sync from this VM receive the changes instead of the whole list.
+func (l *ChangeLog) Replace(b storeclient.Batch) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.synced {
+	switch {
+	case !l.synced:
 		l.synced = true
-		l.revision = b.Revision
+		l.position = b.Position()
 		l.baseRevision = b.Revision
 		l.store(b)
 		l.sink.Replace(b)
 		l.notify()
-		return
-	}
-	if b.Revision >= l.revision {
+	case b.Revision < l.position.Revision:
+		return false
+	default:
 		l.add(storeclient.Batch{
 			Items:    l.diff(b.Items),
+			Era:      b.Era,
 			Revision: b.Revision,
 		})
 	}
+	return true
 }
 
 // diff returns the changes that turn the objects of the log into the list.
@@ -119,21 +122,21 @@
 	return bytes.Equal(a.Value, b.Value) && bytes.Equal(a.State, b.State)
 }
 
-// Apply applies the changes between the revisions after and b.Revision. It changes nothing and returns false if the log is not at
-// the revision after.
-func (l *ChangeLog) Apply(after uint64, b storeclient.Batch) bool {
+// Apply applies the changes between the positions after and b.Position(). It changes nothing and returns false if the log is not at
+// the position after, or if the two are of different eras.
+func (l *ChangeLog) Apply(after storeclient.Position, b storeclient.Batch) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.synced || l.revision != after || b.Revision < after {
+	if !l.synced || l.position != after || b.Era != after.Era || b.Revision < after.Revision {
 		return false
 	}
 	l.add(b)
 	return true
 }
 
-// add applies the changes up to b.Revision and adds them to the history.
+// add applies the changes up to the position of b and adds them to the history.
 func (l *ChangeLog) add(b storeclient.Batch) {
-	l.revision = b.Revision
+	l.position = b.Position()
 	if len(b.Items) == 0 {
 		return
 	}
@@ -229,14 +232,14 @@
 func (l *ChangeLog) ChangesSince(after uint64) (u *Update, synced, platformDown bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.synced || l.revision <= after {
+	if !l.synced || l.position.Revision <= after {
 		return nil, l.synced, l.platformDown
 	}
 	u = &Update{
 		FollowUpdate: messenger.FollowUpdate{
 			Kind:     l.kind,
 			After:    after,
-			Revision: l.revision,
+			Revision: l.position.Revision,
 		},
 		last: l.baseRevision,
 	}
--- a/internal/syncer/peers.go
+++ b/internal/syncer/peers.go
@@ -121,8 +121,8 @@
 		Wait:  wait,
 	}
 	for _, l := range s.o.Logs {
-		revision, _ := l.Revision()
-		req.After[l.kind] = revision
+		position, _ := l.Position()
+		req.After[l.kind] = position.Revision
 	}
 	if wait > 0 {
 		now := s.o.Timer.Now()
@@ -156,14 +156,19 @@
 				s.o.Log.Error().Err(err).Msg("An update from another VM cannot be decoded.")
 				continue
 			}
+			position, _ := l.Position()
 			b := storeclient.Batch{
 				Items:    items,
+				Era:      position.Era,
 				Revision: u.Revision,
 			}
 			if u.Whole {
 				l.Replace(b)
 			} else {
-				l.Apply(u.After, b)
+				l.Apply(storeclient.Position{
+					Era:      position.Era,
+					Revision: u.After,
+				}, b)
 			}
 			changed = changed || u.Whole || len(items) > 0
 		}
--- a/internal/syncer/platformreader.go
+++ b/internal/syncer/platformreader.go
@@ -45,10 +45,11 @@
 	upToDate atomic.Bool
 }
 
-// run syncs the kind until ctx is cancelled. It reads the whole list unless the log is already synced, and reads it again each
-// time that watch returns.
+// run syncs the kind until ctx is cancelled. It reads the whole list unless the log is already synced in the current era of the
+// platform, and reads it again each time that watch returns.
 func (r *platformReader) run(ctx context.Context) {
-	revision, synced := r.changes.Revision()
+	position, synced := r.changes.Position()
+	synced = synced && position.Era >= r.source.Era()
 	for ctx.Err() == nil {
 		if !synced {
 			sent := r.timer.Now()
@@ -58,18 +59,22 @@
 			if !r.handleResult(ctx, err) {
 				continue
 			}
-			r.changes.Replace(b)
+			if !r.changes.Replace(b) {
+				r.log.Warn().Str("Kind", r.changes.kind).Uint64("Era", b.Era).Uint64("Revision", b.Revision).Msg("A list of the platform is older than the objects of this VM; it is read again.")
+				r.pause(ctx)
+				continue
+			}
 			r.markUpToDate(sent)
-			revision = b.Revision
+			position = b.Position()
 		}
-		r.watch(ctx, revision)
+		r.watch(ctx, position)
 		synced = false
 	}
 }
 
-// watch applies changes from the platform until the platform no longer has the history since the last revision, the log has
-// moved on to another revision, or ctx is cancelled.
-func (r *platformReader) watch(ctx context.Context, revision uint64) {
+// watch applies changes from the platform until the platform no longer has the history since the position or is in another era, the
+// log has moved on to another position, or ctx is cancelled.
+func (r *platformReader) watch(ctx context.Context, position storeclient.Position) {
 	for ctx.Err() == nil {
 		wait := watchWait
 		if !r.upToDate.Load() {
@@ -78,21 +83,22 @@
 		}
 		sent := r.timer.Now()
 		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
-		b, err := r.source.WatchKind(call, r.changes.kind, revision, wait)
+		b, err := r.source.WatchKind(call, r.changes.kind, position.Revision, wait)
 		cancel()
 		if errors.Is(err, storeclient.ErrHistoryGone) {
 			r.upToDate.Store(false)
-			r.log.Info().Str("Kind", r.changes.kind).Uint64("Revision", revision).Msg("The history of changes is no longer available; the whole list is read again.")
+			r.log.Info().Str("Kind", r.changes.kind).Uint64("Revision", position.Revision).Msg("The history of changes is no longer available; the whole list is read again.")
 			return
 		}
 		if !r.handleResult(ctx, err) {
 			continue
 		}
-		if !r.changes.Apply(revision, b) {
+		if !r.changes.Apply(position, b) {
+			r.upToDate.Store(false)
 			return
 		}
 		r.markUpToDate(sent)
-		revision = b.Revision
+		position = b.Position()
 		if len(b.Items) > 0 {
 			r.timer.Sleep(ctx, batchDelay)
 		}
@@ -127,7 +133,12 @@
 		r.log.Warn().Str("Kind", r.changes.kind).Err(err).Msg("The platform does not answer.")
 		r.changes.SetPlatformDown(true)
 	}
+	r.pause(ctx)
+	return false
+}
+
+// pause waits after a call without a usable result, longer after each of them.
+func (r *platformReader) pause(ctx context.Context) {
 	r.backoff = min(max(minBackoff, 2*r.backoff), maxBackoff)
 	r.timer.Sleep(ctx, r.backoff/2+rand.N(r.backoff/2))
-	return false
 }
--- a/internal/syncer/startup.go
+++ b/internal/syncer/startup.go
@@ -47,7 +47,7 @@
 		}
 		l.SetPlatformDown(true)
 		s.syncFromPeers(ctx)
-		_, loaded := l.Revision()
+		_, loaded := l.Position()
 		return loaded
 	}
 	l.Replace(b)
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -201,7 +201,7 @@
 // synced reports whether a list of each kind has been received.
 func (s *Syncer) synced() bool {
 	return !slices.ContainsFunc(s.o.Logs, func(l *ChangeLog) bool {
-		_, synced := l.Revision()
+		_, synced := l.Position()
 		return !synced
 	})
 }
@@ -229,11 +229,12 @@
 	}
 }
 
-// readKinds syncs all kinds from the platform until the platform stops answering or another VM becomes the reader.
+// readKinds syncs all kinds from the platform until the platform stops answering or begins a new era, or another VM becomes the reader.
 func (s *Syncer) readKinds(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	readers := make([]*platformReader, 0, len(s.o.Logs))
+	era := s.o.Source.Era()
 	for _, l := range s.o.Logs {
 		r := &platformReader{
 			changes:      l,
@@ -263,6 +264,10 @@
 			return
 		}
 		s.recordPlatformState(false)
+		if s.o.Source.Era() != era {
+			// The pending watches wait for changes of a history that has ended.
+			return
+		}
 		for _, r := range readers {
 			if r.upToDate.Load() {
 				r.changes.MarkCurrent(pinged)
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -131,6 +131,10 @@
 	return nil
 }
 
+func (v vmSource) Era() uint64 {
+	return 0
+}
+
 func (v vmSource) Ping(ctx context.Context) error {
 	return v.checkReachable(ctx)
 }
@@ -690,11 +694,17 @@
 	l.Replace(list(9, "a=2"))
 	l.Replace(list(5, "a=1"))
 	assert.Equal(t, s.get("a"), "2")
-	assert.Assert(t, !l.Apply(5, list(6, "a=1")))
-	assert.Assert(t, l.Apply(9, list(12, "a=3")))
+	assert.Assert(t, !l.Apply(at(5), list(6, "a=1")))
+	assert.Assert(t, l.Apply(at(9), list(12, "a=3")))
 	assert.Equal(t, s.get("a"), "3")
 }
 
+func at(revision uint64) storeclient.Position {
+	return storeclient.Position{
+		Revision: revision,
+	}
+}
+
 func list(revision uint64, objects ...string) storeclient.Batch {
 	b := storeclient.Batch{
 		Revision: revision,
