--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -417,6 +417,8 @@
 	From string
 	// After contains the sender's revision of each kind of object, 0 for none.
 	After map[string]uint64
+	// Eras contains the era of each revision in After. A VM of an earlier release states none.
+	Eras map[string]uint64
 	// Wait is how long the receiver may wait for changes before it replies.
 	Wait time.Duration
 	// Seen contains the sender's observations of backend servers.
@@ -437,7 +439,9 @@
 	// TurnedAway is set if the platform did not answer the last ping of the replying VM itself.
 	TurnedAway bool
 	// Age is the time since the replying VM's objects were known to contain all changes. It is negative while that is unknown.
-	Age     time.Duration
+	Age time.Duration
+	// Eras contains the era of each kind of object at the replying VM.
+	Eras    map[string]uint64
 	Updates []FollowUpdate
 	// Conditions contains the health of backend servers, derived from the observations of all VMs of the zone.
 	Conditions []balancer.ServerHealth
@@ -448,11 +452,12 @@
 	Share float64
 }
 
-// FollowUpdate contains the changes of a kind of object after the revision After up to Revision. If Whole is set, it contains
-// the complete list at Revision.
+// FollowUpdate contains the changes of a kind of object after the revision After up to Revision, both of the era Era. If Whole is set,
+// it contains the complete list at Revision.
 type FollowUpdate struct {
 	Kind     string
 	Whole    bool
+	Era      uint64
 	After    uint64
 	Revision uint64
 	Items    []storeclient.Item
--- a/internal/syncer/changelog.go
+++ b/internal/syncer/changelog.go
@@ -20,8 +20,11 @@
 type Sink interface {
 	// Replace replaces all objects by the whole list b.
 	Replace(b storeclient.Batch)
-	// Apply updates the objects by the changes b, which follow the last call of Replace or Apply.
+	// Apply updates the objects by the changes b, which follow the last call of Replace, Apply or Restore.
 	Apply(b storeclient.Batch)
+	// Restore replaces all objects by the list b of a new era. The platform has come back from an older copy: the list may lack changes
+	// that were made before and that are made again afterwards.
+	Restore(b storeclient.Batch)
 	// PlatformDown is called when an outage of the platform begins: it does not answer this VM.
 	PlatformDown()
 	// PlatformRecovered is called when the kind has been read again after an outage.
@@ -46,7 +49,8 @@
 	currentAt time.Time
 	position  storeclient.Position
 	objects   map[string]storeclient.Item
-	// history contains the most recent changes, the oldest first. baseRevision is the revision of the log before the first of them.
+	// history contains the most recent changes of the era of position, the oldest first. baseRevision is the revision of the log before
+	// the first of them.
 	history      []storeclient.Batch
 	baseRevision uint64
 	// changes is written at every change. The logs of a Syncer share it.
@@ -84,8 +88,10 @@
 		l.store(b)
 		l.sink.Replace(b)
 		l.notify()
-	case b.Revision < l.position.Revision:
+	case b.Position().Before(l.position):
 		return false
+	case b.Era > l.position.Era:
+		l.restore(b)
 	default:
 		l.add(storeclient.Batch{
 			Items:    l.diff(b.Items),
@@ -96,13 +102,25 @@
 	return true
 }
 
+// restore begins a new era with the list b. Other VMs receive the whole list, because the history belongs to the era before.
+func (l *ChangeLog) restore(b storeclient.Batch) {
+	l.position = b.Position()
+	l.baseRevision = b.Revision
+	l.history = nil
+	l.lastCompressed = compressedUpdate{}
+	clear(l.objects)
+	l.store(b)
+	l.sink.Restore(b)
+	l.notify()
+}
+
 // diff returns the changes that turn the objects of the log into the list.
 func (l *ChangeLog) diff(list []storeclient.Item) []storeclient.Item {
 	var items []storeclient.Item
 	listed := make(map[string]struct{}, len(list))
 	for _, item := range list {
 		listed[item.Name] = struct{}{}
-		if old, ok := l.objects[item.Name]; !ok || !sameContent(old, item) {
+		if old, ok := l.objects[item.Name]; !ok || !sameObject(old, item) {
 			items = append(items, item)
 		}
 	}
@@ -117,9 +135,10 @@
 	return items
 }
 
-// sameContent reports whether two versions of an object have the same value and state. Their revisions may differ.
-func sameContent(a, b storeclient.Item) bool {
-	return bytes.Equal(a.Value, b.Value) && bytes.Equal(a.State, b.State)
+// sameObject reports whether two versions of an object are the same. Conditional writes depend on the revision, so that an object that
+// was written again with the same value and state is another one.
+func sameObject(a, b storeclient.Item) bool {
+	return a.Created == b.Created && a.Revision == b.Revision && bytes.Equal(a.Value, b.Value) && bytes.Equal(a.State, b.State)
 }
 
 // Apply applies the changes between the positions after and b.Position(). It changes nothing and returns false if the log is not at
@@ -227,18 +246,19 @@
 	last  uint64
 }
 
-// ChangesSince returns the update for a VM at the revision after, nil if the VM is up to date. It returns the whole list if the
-// history does not reach back to that revision. An update without items only raises the revision of the VM.
-func (l *ChangeLog) ChangesSince(after uint64) (u *Update, synced, platformDown bool) {
+// ChangesSince returns the update for a VM at the position after, nil if the VM is up to date. It returns the whole list if the history
+// does not reach back to that position. An update without items only raises the revision of the VM.
+func (l *ChangeLog) ChangesSince(after storeclient.Position) (u *Update, synced, platformDown bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.synced || l.position.Revision <= after {
+	if !l.synced || !after.Before(l.position) {
 		return nil, l.synced, l.platformDown
 	}
 	u = &Update{
 		FollowUpdate: messenger.FollowUpdate{
 			Kind:     l.kind,
-			After:    after,
+			Era:      l.position.Era,
+			After:    after.Revision,
 			Revision: l.position.Revision,
 		},
 		last: l.baseRevision,
@@ -246,7 +266,7 @@
 	if n := len(l.history); n > 0 {
 		u.last = l.history[n-1].Revision
 	}
-	if after < l.baseRevision {
+	if after.Era < l.position.Era || after.Revision < l.baseRevision {
 		u.Whole = true
 		for _, name := range slices.Sorted(maps.Keys(l.objects)) {
 			u.Items = append(u.Items, l.objects[name])
@@ -254,7 +274,7 @@
 		return u, true, l.platformDown
 	}
 	for _, b := range l.history {
-		if b.Revision <= after {
+		if b.Revision <= after.Revision {
 			continue
 		}
 		if u.first == 0 {
--- a/internal/syncer/peers.go
+++ b/internal/syncer/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,33 +97,37 @@
 	wg.Wait()
 }
 
-// probe requests only the state of a VM and no updates: it states the highest possible revision for each kind.
+// probe requests only the state of a VM and no updates: it states the last possible position for each kind.
 func (s *Syncer) probe(ctx context.Context, addr netip.AddrPort) (messenger.FollowReply, error) {
 	call, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	req := messenger.FollowRequest{
 		From:  s.o.Name,
 		After: map[string]uint64{},
+		Eras:  map[string]uint64{},
 	}
 	for _, l := range s.o.Logs {
 		req.After[l.kind] = math.MaxUint64
+		req.Eras[l.kind] = math.MaxUint64
 	}
 	var reply messenger.FollowReply
 	err := s.o.Client.Call(call, addr, messenger.MethodFollow, req, &reply)
 	return reply, err
 }
 
-// requestUpdates requests the changes since this VM's revisions from another VM, which may wait for changes before it replies.
+// requestUpdates requests the changes since this VM's positions from another VM, which may wait for changes before it replies.
 // With a wait it also sends this VM's observations and load, as it does to the reader.
 func (s *Syncer) requestUpdates(ctx context.Context, addr netip.AddrPort, wait time.Duration) (messenger.FollowReply, error) {
 	req := messenger.FollowRequest{
 		From:  s.o.Name,
 		After: map[string]uint64{},
+		Eras:  map[string]uint64{},
 		Wait:  wait,
 	}
 	for _, l := range s.o.Logs {
 		position, _ := l.Position()
 		req.After[l.kind] = position.Revision
+		req.Eras[l.kind] = position.Era
 	}
 	if wait > 0 {
 		now := s.o.Timer.Now()
@@ -156,17 +161,16 @@
 				s.o.Log.Error().Err(err).Msg("An update from another VM cannot be decoded.")
 				continue
 			}
-			position, _ := l.Position()
 			b := storeclient.Batch{
 				Items:    items,
-				Era:      position.Era,
+				Era:      u.Era,
 				Revision: u.Revision,
 			}
 			if u.Whole {
 				l.Replace(b)
 			} else {
 				l.Apply(storeclient.Position{
-					Era:      position.Era,
+					Era:      u.Era,
 					Revision: u.After,
 				}, b)
 			}
@@ -176,12 +180,20 @@
 	return changed
 }
 
+// isBehind reports whether a VM that sent the reply has a kind in an earlier era than this VM, so that its objects are no longer valid.
+func (s *Syncer) isBehind(reply messenger.FollowReply) bool {
+	return slices.ContainsFunc(s.o.Logs, func(l *ChangeLog) bool {
+		position, _ := l.Position()
+		return reply.Eras[l.kind] < position.Era
+	})
+}
+
 // FeedServer is the RPC service by which other VMs sync from a Syncer.
 type FeedServer struct {
 	Syncer *Syncer
 }
 
-// Follow replies with the changes since the caller's revisions as soon as there are any, or after the wait. It replies at once
+// Follow replies with the changes since the caller's positions as soon as there are any, or after the wait. It replies at once
 // if the platform is down.
 func (f *FeedServer) Follow(req messenger.FollowRequest, reply *messenger.FollowReply) (err error) {
 	defer messenger.RecoverCall(&err)
@@ -199,6 +211,9 @@
 			reply.Share = s.share(req.From, now)
 		}()
 	}
+	defer func() {
+		reply.Eras = s.eras()
+	}()
 	timeout := s.o.Timer.After(min(req.Wait, longPollTimeout))
 	defer timeout.Stop()
 	for {
@@ -208,7 +223,7 @@
 		reply.Synced = true
 		reply.TurnedAway = s.pingFailed.Load()
 		for _, l := range s.o.Logs {
-			u, synced, platformDown := l.ChangesSince(req.After[l.kind])
+			u, synced, platformDown := l.ChangesSince(l.requested(req))
 			reply.Synced = reply.Synced && synced
 			reply.Away = reply.Away || platformDown
 			if u == nil {
@@ -230,3 +245,26 @@
 		}
 	}
 }
+
+// requested returns the position of the log at the VM that sent the request. A VM that states no eras is taken to be in that of the log.
+func (l *ChangeLog) requested(req messenger.FollowRequest) storeclient.Position {
+	era, ok := req.Eras[l.kind]
+	if !ok {
+		position, _ := l.Position()
+		era = position.Era
+	}
+	return storeclient.Position{
+		Era:      era,
+		Revision: req.After[l.kind],
+	}
+}
+
+// eras returns the era of each kind.
+func (s *Syncer) eras() map[string]uint64 {
+	eras := make(map[string]uint64, len(s.o.Logs))
+	for _, l := range s.o.Logs {
+		position, _ := l.Position()
+		eras[l.kind] = position.Era
+	}
+	return eras
+}
--- a/internal/syncer/platformreader.go
+++ b/internal/syncer/platformreader.go
@@ -30,6 +30,9 @@
 	batchDelay = 400 * time.Millisecond
 )
 
+// errOlder means that an answer of the platform is older than the objects of this VM.
+var errOlder = errors.New("the answer of the platform is older than the objects that this VM has")
+
 // platformReader keeps the ChangeLog of one kind in sync with the platform.
 type platformReader struct {
 	changes *ChangeLog
@@ -56,12 +59,10 @@
 			call, cancel := context.WithTimeout(ctx, listTimeout)
 			b, err := r.source.ListKind(call, r.changes.kind, false)
 			cancel()
-			if !r.handleResult(ctx, err) {
-				continue
+			if err == nil && !r.changes.Replace(b) {
+				err = errOlder
 			}
-			if !r.changes.Replace(b) {
-				r.log.Warn().Str("Kind", r.changes.kind).Uint64("Era", b.Era).Uint64("Revision", b.Revision).Msg("A list of the platform is older than the objects of this VM; it is read again.")
-				r.pause(ctx)
+			if !r.handleResult(ctx, err) {
 				continue
 			}
 			r.markUpToDate(sent)
@@ -90,6 +91,9 @@
 			r.log.Info().Str("Kind", r.changes.kind).Uint64("Revision", position.Revision).Msg("The history of changes is no longer available; the whole list is read again.")
 			return
 		}
+		if err == nil && b.Era < position.Era {
+			err = errOlder
+		}
 		if !r.handleResult(ctx, err) {
 			continue
 		}
@@ -130,15 +134,10 @@
 	if !r.platformDown {
 		r.platformDown = true
 		r.downSince = now
-		r.log.Warn().Str("Kind", r.changes.kind).Err(err).Msg("The platform does not answer.")
+		r.log.Warn().Str("Kind", r.changes.kind).Err(err).Msg("The platform does not answer, or with older objects.")
 		r.changes.SetPlatformDown(true)
 	}
-	r.pause(ctx)
-	return false
-}
-
-// pause waits after a call without a usable result, longer after each of them.
-func (r *platformReader) pause(ctx context.Context) {
 	r.backoff = min(max(minBackoff, 2*r.backoff), maxBackoff)
 	r.timer.Sleep(ctx, r.backoff/2+rand.N(r.backoff/2))
+	return false
 }
--- a/internal/syncer/sinks.go
+++ b/internal/syncer/sinks.go
@@ -43,6 +43,12 @@
 	c.Apply(b)
 }
 
+// Restore installs the newest configuration of the list if it is newer than the one in force. A configuration that the platform has lost
+// stays in force.
+func (c *ConfigSink) Restore(b storeclient.Batch) {
+	c.Apply(b)
+}
+
 // Apply installs the newest configuration of the changes. A deleted or invalid configuration is logged and ignored.
 func (c *ConfigSink) Apply(b storeclient.Batch) {
 	for _, item := range b.Items {
@@ -107,6 +113,11 @@
 	s.publish()
 }
 
+// Restore replaces the list of backend servers by that of a new era.
+func (s *ServerSink) Restore(b storeclient.Batch) {
+	s.Replace(b)
+}
+
 // Apply applies changes of backend servers.
 func (s *ServerSink) Apply(b storeclient.Batch) {
 	s.mu.Lock()
@@ -195,6 +206,11 @@
 	s.write(b, map[string]struct{}{})
 }
 
+// Restore replaces the set of evacuated zones by that of a new era.
+func (s *EvacuationSink) Restore(b storeclient.Batch) {
+	s.Replace(b)
+}
+
 // Apply applies changes of evacuated zones.
 func (s *EvacuationSink) Apply(b storeclient.Batch) {
 	s.write(b, cloneMap(s.Board.EvacuatedZones.Read().Zones))
@@ -243,6 +259,11 @@
 	s.write(b, map[string]blackboard.VM{})
 }
 
+// Restore replaces the list of VMs by that of a new era.
+func (s *VMSink) Restore(b storeclient.Batch) {
+	s.Replace(b)
+}
+
 // Apply applies changes of VMs.
 func (s *VMSink) Apply(b storeclient.Batch) {
 	vms := map[string]blackboard.VM{}
@@ -295,6 +316,11 @@
 	s.Apply(b)
 }
 
+// Restore discards all orders and applies the list b of a new era.
+func (s *RolloutSink) Restore(b storeclient.Batch) {
+	s.Replace(b)
+}
+
 // Apply applies changes of orders. An invalid order is logged and ignored; an earlier version of it stays.
 func (s *RolloutSink) Apply(b storeclient.Batch) {
 	for _, item := range b.Items {
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -319,11 +319,12 @@
 			}
 			continue
 		}
-		if reply.Away || !reply.Synced {
+		behind := s.isBehind(reply)
+		if reply.Away || !reply.Synced || behind {
 			s.applyReply(reply)
 			answered := s.pingAfterSource(ctx)
 			if downReplies++; downReplies > 1 && answered {
-				s.o.Log.Info().Str("Source", vm.Name).Bool("Synced", reply.Synced).Msg("The source of objects cannot reach the platform, but this VM can.")
+				s.o.Log.Info().Str("Source", vm.Name).Bool("Synced", reply.Synced).Bool("Behind", behind).Msg("The source of objects cannot reach the platform or has not read it since it came back from a copy, but this VM can.")
 				s.markSuspect(vm.Name, suspectDuration)
 				s.suspectCutOffReaders(ctx)
 				return
@@ -333,7 +334,7 @@
 		downReplies = 0
 		s.setPlatformDown(false)
 		s.applyReply(reply)
-		s.markCurrent(reply.Age)
+		s.markCurrent(reply)
 		s.pingFailed.Store(false)
 		if s.source().Name != vm.Name {
 			return
@@ -389,15 +390,17 @@
 	}
 }
 
-// markCurrent records that the source's objects, which this VM has received now, contain all changes up to the given age. A negative
-// age is unknown.
-func (s *Syncer) markCurrent(age time.Duration) {
-	if age < 0 {
+// markCurrent records that the source's objects, which this VM has received now, contain all changes up to the age that the reply states.
+// That is not known of a kind whose update this VM could not apply.
+func (s *Syncer) markCurrent(reply messenger.FollowReply) {
+	if reply.Age < 0 {
 		return
 	}
-	at := s.o.Timer.Now().Add(-age)
+	at := s.o.Timer.Now().Add(-reply.Age)
 	for _, l := range s.o.Logs {
-		l.MarkCurrent(at)
+		if position, _ := l.Position(); position.Era == reply.Eras[l.kind] {
+			l.MarkCurrent(at)
+		}
 	}
 }
 
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -55,12 +55,30 @@
 	staleUntil uint64
 	// failing is the kind whose watches fail while the platform answers other calls.
 	failing string
+	// era rises with each restore. seen contains the highest era in the answers to each VM.
+	era  uint64
+	seen map[string]uint64
 }
 
 func newPlatform() *fakePlatform {
 	return &fakePlatform{
 		kinds:  map[string][]storeclient.Batch{},
 		silent: map[string]bool{},
+		seen:   map[string]uint64{},
+	}
+}
+
+// restore brings the platform back from the state at a revision, in the next era.
+func (p *fakePlatform) restore(revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.era++
+	p.revision = revision
+	p.staleUntil = min(p.staleUntil, revision)
+	for kind, batches := range p.kinds {
+		p.kinds[kind] = slices.DeleteFunc(slices.Clone(batches), func(b storeclient.Batch) bool {
+			return b.Revision > revision
+		})
 	}
 }
 
@@ -89,6 +107,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := storeclient.Batch{
+		Era:      p.era,
 		Revision: p.revision,
 	}
 	for _, change := range p.kinds[kind] {
@@ -104,6 +123,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := storeclient.Batch{
+		Era:      p.era,
 		Revision: p.staleUntil,
 	}
 	for _, change := range p.kinds[kind] {
@@ -128,11 +148,16 @@
 		<-ctx.Done()
 		return errUnavailable
 	}
+	v.platform.mu.Lock()
+	v.platform.seen[v.vm] = v.platform.era
+	v.platform.mu.Unlock()
 	return nil
 }
 
 func (v vmSource) Era() uint64 {
-	return 0
+	v.platform.mu.Lock()
+	defer v.platform.mu.Unlock()
+	return v.platform.seen[v.vm]
 }
 
 func (v vmSource) Ping(ctx context.Context) error {
@@ -242,6 +267,10 @@
 	s.Apply(b)
 }
 
+func (s *recordingSink) Restore(b storeclient.Batch) {
+	s.Replace(b)
+}
+
 func (s *recordingSink) Apply(b storeclient.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -605,7 +634,7 @@
 	l := syncer.NewChangeLog(kindObject, &recordingSink{})
 	l.Replace(list(5, "a=1", "b=1", "c=1"))
 	l.Replace(list(9, "a=1", "b=2", "d=1"))
-	u, synced, _ := l.ChangesSince(5)
+	u, synced, _ := l.ChangesSince(at(5))
 	assert.Assert(t, synced)
 	assert.Assert(t, !u.Whole)
 	var got []string
@@ -614,7 +643,7 @@
 	}
 	slices.Sort(got)
 	assert.DeepEqual(t, got, []string{"b=2 false", "c= true", "d=1 false"})
-	u, synced, _ = l.ChangesSince(2)
+	u, synced, _ = l.ChangesSince(at(2))
 	assert.Assert(t, synced)
 	assert.Assert(t, u.Whole)
 	assert.Equal(t, len(u.Items), 3)
@@ -633,7 +662,7 @@
 		total += len(o)
 	}
 	l.Replace(list(5, objects...))
-	whole, _, _ := l.ChangesSince(0)
+	whole, _, _ := l.ChangesSince(at(0))
 	count := len(whole.Items)
 	assert.NilError(t, l.Compress(whole))
 	assert.Assert(t, len(whole.Packed) > 0 && len(whole.Packed)*5 < total, "%d bytes of %d", len(whole.Packed), total)
@@ -643,7 +672,7 @@
 	assert.Equal(t, len(items), count)
 
 	l.Replace(list(9, objects[:500]...))
-	changes, _, _ := l.ChangesSince(5)
+	changes, _, _ := l.ChangesSince(at(5))
 	assert.NilError(t, l.Compress(changes))
 	items, err = syncer.DecodeItems(changes.FollowUpdate)
 	assert.NilError(t, err)
