Keep servers that left out of use when the store comes back (DRAIN)

Seen by callers' servers: after a restore of the store from a copy made before a server said that it leaves, or before its entry was removed, the server got requests again until that was written again.

Cause: the list of a restored store was taken like any other list: what it contains is usable.

Change: the discoverer remembers for 10 minutes the processes (ID, address, start time) that said that they leave, were replaced under their ID, or whose entry was removed while the platform answered. When the platform comes back from a copy, the first two are not used again although they are listed, the third not for three heartbeat intervals and 2 s, after which the platform has removed the entry of a dead server. A server that the copy lacks lapses: it stays in use for the grace period, in which it registers again if it is alive. An older process does not replace a newer one under its ID, and a cold start that the copy does not know of goes on.

TestRestoredEntries cannot be built on the code before.

--- a/internal/configurer/gateway.go
+++ b/internal/configurer/gateway.go
@@ -28,6 +28,8 @@
 	Seeds []netip.AddrPort
 	// DrainTimeout is how long a backend server continues to serve after its entry is marked as draining.
 	DrainTimeout time.Duration
+	// HeartbeatInterval is the interval at which backend servers renew their entries, 0 if the settings do not state it.
+	HeartbeatInterval time.Duration
 	// GracePeriod is the time between SIGTERM and SIGKILL when the VM is stopped.
 	GracePeriod time.Duration
 	// RetryRatio is the number of retries and hedges to a service that are allowed for each first attempt in RetryWindow.
@@ -67,6 +69,9 @@
 			faults = append(faults, fmt.Errorf("%s is missing or not positive", f.name))
 		}
 	}
+	if g.HeartbeatInterval < 0 || g.HeartbeatInterval > time.Hour {
+		faults = append(faults, errors.New("the heartbeat interval is negative or longer than an hour"))
+	}
 	if g.MemoryBytes < 0 {
 		faults = append(faults, errors.New("the memory limit is negative"))
 	}
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -80,6 +80,25 @@
 	// be current, since the entry may have disappeared at any time after that. If this happens during an outage of the platform, the
 	// period starts again when the platform has recovered.
 	GracePeriod time.Duration
+	// ReturnDelay is how long a server whose entry had been removed is not used after the platform has come back from a copy that lists
+	// it. It exceeds the time after which the platform removes the entry of a server that no longer renews it.
+	ReturnDelay time.Duration
+}
+
+// departureMemory is how long a departure is remembered. Copies of the platform are some seconds old.
+const departureMemory = 10 * time.Minute
+
+// departure states that a process was leaving or that its entry was removed. It matters when the platform comes back from a copy that was
+// made before.
+type departure struct {
+	// final is set if the process has said that it leaves or has been replaced under its ID. Such a process does not return.
+	final bool
+	// at is the time at which this was last learned.
+	at time.Time
+	// hidden is set if the platform has come back from a copy since. The process is then not used, if final is not set until the time
+	// until.
+	hidden bool
+	until  time.Time
 }
 
 // lapsedEntry is an entry that is gone and whose server is still used.
@@ -103,6 +122,8 @@
 	servers   map[string]*Server
 	// lapsed contains the servers whose entries are gone and whose grace period is not over, by ID. None of them is in servers.
 	lapsed map[string]lapsedEntry
+	// departed contains the processes that are not used if the platform lists them again because it came back from a copy.
+	departed map[Key]departure
 }
 
 // New returns a Discoverer without entries.
@@ -111,6 +132,8 @@
 		cfg:     cfg,
 		servers: map[string]*Server{},
 		lapsed:  map[string]lapsedEntry{},
+
+		departed: map[Key]departure{},
 	}
 }
 
@@ -154,6 +177,72 @@
 	d.Apply(now, revision, list)
 }
 
+// Restore replaces all entries by the list of a platform that has come back from a copy. A server that the list lacks lapses, because it
+// registers again if it is alive. A process that had left before is not used although it is listed.
+func (d *Discoverer) Restore(now time.Time, revision uint64, list []Change) {
+	for k, dep := range d.departed {
+		dep.hidden = true
+		dep.until = now.Add(d.cfg.ReturnDelay)
+		d.departed[k] = dep
+	}
+	d.PlatformRecovered(now)
+	var current []Change
+	listed := make(map[string]struct{}, len(list))
+	for _, c := range list {
+		known := d.known(c.ID)
+		switch {
+		case c.Server == nil || known == nil:
+		case known.StartTime.After(c.Server.StartTime):
+			d.departed[c.Server.Key()] = departure{
+				final:  true,
+				at:     now,
+				hidden: true,
+			}
+			continue
+		case known.Key() == c.Server.Key() && known.ColdUntil.After(c.Server.ColdUntil):
+			c.Server.ColdUntil = known.ColdUntil
+		}
+		listed[c.ID] = struct{}{}
+		current = append(current, c)
+	}
+	for id, s := range d.servers {
+		if _, ok := listed[id]; ok {
+			continue
+		}
+		delete(d.servers, id)
+		if !s.Draining && !d.isHidden(s) {
+			d.lapsed[id] = lapsedEntry{
+				server:   s,
+				until:    now.Add(d.cfg.GracePeriod),
+				inOutage: true,
+			}
+		}
+	}
+	d.loaded = true
+	d.Apply(now, revision, current)
+}
+
+// known returns the server that is known under an ID, nil if there is none.
+func (d *Discoverer) known(id string) *Server {
+	if s, ok := d.servers[id]; ok {
+		return s
+	}
+	return d.lapsed[id].server
+}
+
+// depart records that a process is leaving or that its entry was removed.
+func (d *Discoverer) depart(now time.Time, s *Server, final bool) {
+	dep := d.departed[s.Key()]
+	dep.final = dep.final || final
+	dep.at = now
+	d.departed[s.Key()] = dep
+}
+
+// isHidden reports whether a listed process is not used because it had left before the platform came back from a copy.
+func (d *Discoverer) isHidden(s *Server) bool {
+	return d.departed[s.Key()].hidden
+}
+
 // Apply updates the entries by the changes since the previous revision. Removed servers lapse unless they were draining.
 func (d *Discoverer) Apply(now time.Time, revision uint64, changes []Change) {
 	for _, c := range changes {
@@ -161,6 +250,14 @@
 			d.remove(now, c.ID)
 			continue
 		}
+		if old := d.known(c.ID); old != nil && old.Key() != c.Server.Key() {
+			d.depart(now, old, true)
+		}
+		if c.Server.Draining {
+			d.depart(now, c.Server, true)
+		} else if !d.isHidden(c.Server) {
+			delete(d.departed, c.Server.Key())
+		}
 		d.servers[c.ID] = c.Server
 		delete(d.lapsed, c.ID)
 	}
@@ -173,10 +270,13 @@
 		return
 	}
 	delete(d.servers, id)
-	if s.Draining {
+	if s.Draining || d.isHidden(s) {
 		return
 	}
 	inOutage := d.down || now.Sub(d.recoveredAt) < d.cfg.GracePeriod
+	if !inOutage {
+		d.depart(now, s, false)
+	}
 	goneSince := now
 	if !inOutage && !d.currentAt.IsZero() {
 		goneSince = d.currentAt
@@ -190,9 +290,22 @@
 	}
 }
 
-// Expire removes the servers whose grace period is over and returns their IDs in sorted order.
-func (d *Discoverer) Expire(now time.Time) []string {
-	var gone []string
+// Expire removes the servers whose grace period is over, and uses the hidden ones again whose delay is over. It returns the IDs of both in
+// sorted order.
+func (d *Discoverer) Expire(now time.Time) (gone, returned []string) {
+	for k, dep := range d.departed {
+		s, listed := d.servers[k.ID]
+		listed = listed && s.Key() == k
+		switch {
+		case dep.hidden && !dep.final && !now.Before(dep.until):
+			delete(d.departed, k)
+			if listed {
+				returned = append(returned, k.ID)
+			}
+		case !listed && now.Sub(dep.at) >= departureMemory:
+			delete(d.departed, k)
+		}
+	}
 	for id, l := range d.lapsed {
 		if !now.Before(l.until) {
 			delete(d.lapsed, id)
@@ -200,10 +313,11 @@
 		}
 	}
 	slices.Sort(gone)
-	return gone
+	slices.Sort(returned)
+	return gone, returned
 }
 
-// View returns the usable servers of each service ordered by ID: those that are not draining, and lapsed ones.
+// View returns the usable servers of each service ordered by ID: those that are neither draining nor hidden, and lapsed ones.
 func (d *Discoverer) View() *View {
 	v := &View{
 		Loaded:    d.loaded,
@@ -211,7 +325,7 @@
 		ByService: map[string][]Endpoint{},
 	}
 	for _, s := range d.servers {
-		if !s.Draining {
+		if !s.Draining && !d.isHidden(s) {
 			v.ByService[s.Service] = append(v.ByService[s.Service], Endpoint{
 				Server: s,
 			})
--- a/internal/discoverer/discoverer_test.go
+++ b/internal/discoverer/discoverer_test.go
@@ -16,10 +16,22 @@
 // longer than the grace period, also around an outage that begins after they have stopped or if their removal is learned late, and
 // against requests to draining servers.
 func TestLapsedEntries(t *testing.T) {
-	data, err := os.ReadFile("testdata/lapses.txt")
+	runScript(t, "testdata/lapses.txt")
+}
+
+// The platform comes back from a copy. Guards against servers that are given up because the copy lacks them, and against servers that are
+// used again because the copy lists them although they had left, drained or been replaced before.
+func TestRestoredEntries(t *testing.T) {
+	runScript(t, "testdata/restores.txt")
+}
+
+func runScript(t *testing.T, file string) {
+	t.Helper()
+	data, err := os.ReadFile(file)
 	assert.NilError(t, err)
 	d := discoverer.New(discoverer.Config{
 		GracePeriod: 2 * time.Second,
+		ReturnDelay: 5 * time.Second,
 	})
 	start := time.Unix(1000, 0)
 	revision := uint64(0)
@@ -48,6 +60,13 @@
 				list = append(list, put(id, false))
 			}
 			d.Replace(now, revision, list)
+		case "restore":
+			var list []discoverer.Change
+			for _, id := range words[2:] {
+				name, draining := strings.CutSuffix(id, "!")
+				list = append(list, put(name, draining))
+			}
+			d.Restore(now, revision, list)
 		case "current":
 			d.Current(now)
 		case "down":
@@ -62,13 +81,17 @@
 	}
 }
 
-func put(id string, draining bool) discoverer.Change {
+// put returns the entry of a process, ID or ID@START with the start in milliseconds.
+func put(process string, draining bool) discoverer.Change {
+	id, text, _ := strings.Cut(process, "@")
+	start, _ := strconv.ParseInt(text, 10, 64)
 	return discoverer.Change{
 		ID: id,
 		Server: &discoverer.Server{
-			ID:       id,
-			Service:  "s",
-			Draining: draining,
+			ID:        id,
+			Service:   "s",
+			Draining:  draining,
+			StartTime: time.UnixMilli(start),
 		},
 	}
 }
@@ -77,6 +100,9 @@
 	var names []string
 	for _, e := range v.ByService["s"] {
 		name := e.ID
+		if start := e.StartTime.UnixMilli(); start != 0 {
+			name += "@" + strconv.FormatInt(start, 10)
+		}
 		if e.Lapsed {
 			name += "*"
 		}
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -49,6 +50,10 @@
 	// lapsedEntryGracePeriod is how long a backend server is used after its entry has been removed from the platform. Servers that
 	// are alive renew a lapsed entry within 2 s.
 	lapsedEntryGracePeriod = 2 * time.Second
+	// defaultHeartbeatInterval is used if the settings state none. The platform removes an entry that has not been renewed for
+	// missedHeartbeats intervals.
+	defaultHeartbeatInterval = 2 * time.Second
+	missedHeartbeats         = 3
 	// drainMargin is subtracted from the drain timeout of a backend server, so that the last requests sent to it can complete.
 	drainMargin = time.Second
 	// housekeepingPeriod is the interval between checks for changes that occur over time: grace periods that end, the health of
@@ -165,6 +170,7 @@
 	g.registerMetrics()
 	g.serverSink = syncer.NewServerSink(g.board, platform.DecodeServer, g.timer, l.Part("registrar"), discoverer.Config{
 		GracePeriod: max(0, min(lapsedEntryGracePeriod, cfg.DrainTimeout-drainMargin)),
+		ReturnDelay: missedHeartbeats*cmp.Or(cfg.HeartbeatInterval, defaultHeartbeatInterval) + lapsedEntryGracePeriod,
 	})
 	g.recorder = recorder.New(cfg.Name, g.timer)
 	g.peerPool = messenger.NewPool(g.recorder, l)
--- a/internal/syncer/sinks.go
+++ b/internal/syncer/sinks.go
@@ -115,7 +115,10 @@
 
 // Restore replaces the list of backend servers by that of a new era.
 func (s *ServerSink) Restore(b storeclient.Batch) {
-	s.Replace(b)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.discoverer.Restore(s.timer.Now(), b.Revision, s.changes(b))
+	s.publish()
 }
 
 // Apply applies changes of backend servers.
@@ -151,8 +154,14 @@
 func (s *ServerSink) Expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if gone := s.discoverer.Expire(now); len(gone) > 0 {
+	gone, returned := s.discoverer.Expire(now)
+	if len(gone) > 0 {
 		s.log.Info().Strs("Servers", gone[:min(len(gone), maxLogged)]).Int("Count", len(gone)).Msg("Backend servers were removed because the grace period of their lapsed entries is over.")
+	}
+	if len(returned) > 0 {
+		s.log.Info().Strs("Servers", returned[:min(len(returned), maxLogged)]).Int("Count", len(returned)).Msg("Backend servers are used again because the platform still lists them some time after it came back from a copy.")
+	}
+	if len(gone)+len(returned) > 0 {
 		s.publish()
 	}
 }
