--- a/internal/blackboard/gateway.go
+++ b/internal/blackboard/gateway.go
@@ -58,14 +58,26 @@
 	To      string
 	// Duration is the time after the order within which the operator wants the move to be completed.
 	Duration time.Duration
-	// ID is unique among the orders for a service.
+	// Era is the era of the platform's history in which ID and Revision are valid.
+	Era uint64
+	// ID is unique among the orders for a service in an era.
 	ID uint64
-	// Revision is the revision of the order's object. Writes of the outcome are conditional on it.
+	// Revision is the revision of the order's object. Writes of the outcome are conditional on it and on Era.
 	Revision uint64
 	// Outcome is the outcome recorded at the platform, "" until one has been written for this order.
 	Outcome MoveOutcome
 }
 
+// Continues reports whether the order is the order o, as the platform has it again after it came back from a copy.
+func (m MoveOrder) Continues(o MoveOrder) bool {
+	return m.Era > o.Era && m.Service == o.Service && m.To == o.To && m.Duration == o.Duration
+}
+
+// IsFinal reports whether a move with the outcome has ended.
+func (o MoveOutcome) IsFinal() bool {
+	return o == MoveDone || o == MoveRolledBack
+}
+
 // TrafficShiftStep is the progress of a service's move to another version.
 type TrafficShiftStep int
 
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -517,7 +517,8 @@
 // MoveReport is the report of one VM on a move, or the sum of the reports of all VMs of a zone.
 type MoveReport struct {
 	Name string
-	// Order is the ID of the move order. It distinguishes successive orders with the same name.
+	// Era and Order are the era and the ID of the move order. They distinguish successive orders with the same name.
+	Era   uint64
 	Order uint64
 	// Age is the time since the move was ordered.
 	Age time.Duration
@@ -528,6 +529,8 @@
 	OldRunning int
 	// Fault is the reason for which the move was rolled back. It is empty if the move was not rolled back.
 	Fault string
+	// Confirmed is the final outcome that the platform has once confirmed, "" if there is none. The platform may have lost it since.
+	Confirmed blackboard.MoveOutcome
 	// Evidence contains the statistics of each route since the move was ordered. Those without a version belong to the old one.
 	Evidence []VersionStatsRecord
 }
--- a/internal/promoter/decision.go
+++ b/internal/promoter/decision.go
@@ -96,6 +96,8 @@
 	RecentRoutes []mover.RouteEvidence
 	// RollbackReason is the reason for which a VM has rolled the move back, or "".
 	RollbackReason string
+	// Confirmed is the final outcome of the move that the platform has once confirmed to any VM, or "".
+	Confirmed blackboard.MoveOutcome
 }
 
 // Decision contains the step, the share and the outcome that a VM has decided for a move.
@@ -107,13 +109,17 @@
 	Reason string
 }
 
-// Decide returns the decision that follows the previous one. A rollback is final. A move that has switched all requests to the
-// new version keeps them there unless it is rolled back.
+// Decide returns the decision that follows the previous one. A rollback is final, and so is every outcome that the platform has confirmed,
+// also after it has lost it. A move that has switched all requests to the new version keeps them there unless it is rolled back.
 func Decide(o blackboard.MoveOrder, limits ExposureLimits, p Progress, previous Decision) Decision {
+	ended := o.Outcome
+	if !ended.IsFinal() {
+		ended = p.Confirmed
+	}
 	switch {
-	case o.Outcome == blackboard.MoveDone:
+	case ended == blackboard.MoveDone:
 		return stepTo(o, blackboard.StepDone, 1, blackboard.MoveDone)
-	case o.Outcome == blackboard.MoveRolledBack:
+	case ended == blackboard.MoveRolledBack:
 		return rollBack(o, previous.Reason)
 	case previous.Outcome == blackboard.MoveRolledBack:
 		return previous
--- a/internal/promoter/decision_test.go
+++ b/internal/promoter/decision_test.go
@@ -35,9 +35,11 @@
 	// Before is the step of the previous decision, TakenBack if it was a rollback, or "" if there was none.
 	Before string
 	Stored blackboard.MoveOutcome
-	Routes []mover.RouteEvidence
-	Recent []mover.RouteEvidence
-	Want   struct {
+	// Confirmed is the outcome that the platform has confirmed and may have lost since.
+	Confirmed blackboard.MoveOutcome
+	Routes    []mover.RouteEvidence
+	Recent    []mover.RouteEvidence
+	Want      struct {
 		Step    string
 		Share   float64
 		Outcome blackboard.MoveOutcome
@@ -67,6 +69,7 @@
 		Routes:            markOperations(c.Routes),
 		RecentRoutes:      markOperations(c.Recent),
 		RollbackReason:    c.Fault,
+		Confirmed:         c.Confirmed,
 	}
 }
 
--- a/internal/promoter/evidence.go
+++ b/internal/promoter/evidence.go
@@ -65,6 +65,9 @@
 	moveOrder blackboard.MoveOrder
 	// name is the name of the order's object on the platform.
 	name string
+	// confirmed is the final outcome that the platform has once confirmed, by a read or by a write, "" if there is none. It does not change
+	// when the platform comes back from a copy that lacks it.
+	confirmed blackboard.MoveOutcome
 	// orderedAt is the earliest time at which any VM is known to have received the order.
 	orderedAt time.Time
 	// receivedAt is the time at which this VM has received the order.
--- a/internal/promoter/exchange.go
+++ b/internal/promoter/exchange.go
@@ -37,6 +37,7 @@
 	anySwitched      bool
 	oldRunning       int
 	rollbackReason   string
+	confirmed        blackboard.MoveOutcome
 }
 
 // localReports returns the reports of this VM about the moves in progress. The caller must hold p.mu.
@@ -49,11 +50,13 @@
 		}
 		r := messenger.MoveReport{
 			Name:        name,
+			Era:         st.moveOrder.Era,
 			Order:       st.moveOrder.ID,
 			Age:         now.Sub(st.orderedAt),
 			Switched:    st.decision.Step == blackboard.StepSwitched,
 			AnySwitched: st.decision.Step == blackboard.StepSwitched,
 			OldRunning:  p.o.RunningOnOtherVersions(st.moveOrder.Service, st.moveOrder.To),
+			Confirmed:   st.confirmed,
 			Evidence:    st.localCounts.records(st.moveOrder),
 		}
 		if st.decision.Outcome == blackboard.MoveRolledBack {
@@ -78,12 +81,13 @@
 		routes.add(order, s.Evidence)
 		for _, r := range p.vmReports {
 			for _, move := range r.moves {
-				if move.Name == s.Name && move.Order == s.Order {
+				if move.Name == s.Name && move.Era == s.Era && move.Order == s.Order {
 					s.Age = max(s.Age, move.Age)
 					s.Switched = s.Switched && move.Switched
 					s.AnySwitched = s.AnySwitched || move.AnySwitched
 					s.OldRunning += move.OldRunning
 					s.Fault = cmp.Or(s.Fault, move.Fault)
+					s.Confirmed = cmp.Or(s.Confirmed, move.Confirmed)
 					routes.add(order, move.Evidence)
 				}
 			}
@@ -125,11 +129,12 @@
 	}
 	for _, r := range p.zoneReports {
 		for _, move := range r.moves {
-			if move.Name != st.name || move.Order != st.moveOrder.ID {
+			if move.Name != st.name || move.Era != st.moveOrder.Era || move.Order != st.moveOrder.ID {
 				continue
 			}
 			s.age = max(s.age, move.Age+now.Sub(r.at))
 			s.rollbackReason = cmp.Or(s.rollbackReason, move.Fault)
+			s.confirmed = cmp.Or(s.confirmed, move.Confirmed)
 			s.routes.add(st.moveOrder, move.Evidence)
 			if now.Sub(r.at) <= maxReportAge {
 				s.allSwitched = s.allSwitched && move.Switched
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -5,6 +5,7 @@
 package promoter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -44,7 +45,7 @@
 // OutcomeStore stores the outcomes of move orders on the platform.
 type OutcomeStore interface {
 	// SetOutcome writes the outcome of the named order. It returns storeclient.ErrConflict if the revision of the order's object
-	// is no longer order.Revision.
+	// is no longer order.Revision, or if the platform is no longer in the era order.Era.
 	SetOutcome(ctx context.Context, name string, order blackboard.MoveOrder, o blackboard.MoveOutcome) error
 }
 
@@ -96,7 +97,8 @@
 }
 
 // SetOrders replaces the move orders with the given ones, which are all orders at a revision of the platform, keyed by the names
-// of their objects. Evidence collected for an order is kept unless its ID or target version has changed.
+// of their objects. Evidence collected for an order is kept unless its ID or target version has changed. An order of a new era
+// continues the equal one of the era before.
 func (p *Promoter) SetOrders(revision uint64, orders map[string]blackboard.MoveOrder) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -110,13 +112,22 @@
 	}
 	for name, order := range orders {
 		st, ok := p.orderStates[name]
-		if !ok || st.moveOrder.ID != order.ID || st.moveOrder.To != order.To {
+		switch {
+		case ok && order.Continues(st.moveOrder):
+			p.o.Log.Info().Str("Move", name).Str("Service", order.Service).Str("Version", order.To).Uint64("Era", order.Era).Str("Outcome", string(order.Outcome)).
+				Str("Confirmed", string(st.confirmed)).Msg("A move goes on after the platform came back from a copy.")
+			// The delay of the zone applies again to the first write.
+			st.lastWrite = time.Time{}
+		case !ok || st.moveOrder.Era != order.Era || st.moveOrder.ID != order.ID || st.moveOrder.To != order.To:
 			p.o.Log.Info().Str("Move", name).Str("Service", order.Service).Str("Version", order.To).Dur("Duration", order.Duration).
 				Str("Outcome", string(order.Outcome)).Uint64("Revision", revision).Msg("An order to move a service to another version was received.")
 			st = newOrderState(name, order, now)
 			p.orderStates[name] = st
 		}
 		st.moveOrder = order
+		if order.Outcome.IsFinal() {
+			st.confirmed = order.Outcome
+		}
 	}
 	p.decide(now)
 	p.ordersChanged.Write(&struct{}{})
@@ -184,7 +195,7 @@
 
 // ended reports whether the platform has the final outcome of the order.
 func (st *orderState) ended() bool {
-	return st.moveOrder.Outcome == blackboard.MoveDone || st.moveOrder.Outcome == blackboard.MoveRolledBack
+	return st.moveOrder.Outcome.IsFinal()
 }
 
 // decide makes a decision for each order and writes the section TrafficShifts. The caller must hold p.mu.
@@ -251,6 +262,7 @@
 		OldRunning:        s.oldRunning,
 		RequestsPerSecond: st.requestRate(s.routes, now),
 		RollbackReason:    s.rollbackReason,
+		Confirmed:         cmp.Or(st.confirmed, s.confirmed),
 	}
 	if st.decision.Step == blackboard.StepSwitched {
 		progress.SwitchedFor = now.Sub(st.switchedAt)
@@ -327,6 +339,7 @@
 	switch {
 	case err == nil:
 		log.Info().Msg("The outcome of a move was written to the platform.")
+		w.promoter.confirm(w.name, w.moveOrder, w.outcome)
 	case errors.Is(err, storeclient.ErrConflict):
 		log.Info().Msg("The outcome of a move was not written because its order has changed.")
 	default:
@@ -334,6 +347,16 @@
 	}
 }
 
+// confirm records that the platform has confirmed the outcome of an order.
+func (p *Promoter) confirm(name string, order blackboard.MoveOrder, outcome blackboard.MoveOutcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	st, ok := p.orderStates[name]
+	if ok && outcome.IsFinal() && (st.moveOrder.Era == order.Era && st.moveOrder.ID == order.ID || st.moveOrder.Continues(order)) {
+		st.confirmed = outcome
+	}
+}
+
 // readers returns the VMs of a zone in the order in which they are candidates for reading the platform.
 func (p *Promoter) readers(zone string) []blackboard.VM {
 	return syncer.ReaderOrder(p.o.Board.VMs.Read(), zone)
--- a/internal/syncer/sinks.go
+++ b/internal/syncer/sinks.go
@@ -342,6 +342,7 @@
 			s.Log.Error().Str("Move", item.Name).Uint64("Revision", b.Revision).Err(err).Msg("An order to move a service is invalid.")
 			continue
 		}
+		v.Era = b.Era
 		s.orders[item.Name] = v
 	}
 	s.OnChange(b.Revision, cloneMap(s.orders))
