Bridge what the store has lost until it is written again

Seen by callers and servers: after a restore of the store, servers of a zone that had been evacuated since the copy got requests again, a zone whose evacuation had been lifted stayed out of use, and a bad version whose order was lost got requests until it had been rolled back a second time. The list of VMs became empty, so that each VM read the store for itself.

Cause: a list of the new era was taken for what operators and VMs want now.

Change: a Retainer stands between the change log and the sinks of evacuations, moves and VMs. What the copy lacks stays in force until it is written again, for at most 30 s; what had been deleted or changed stays so for at most 10 s (evacuations 3 s, because an order that the copy contains causes no event when it is given again, and has to be in force within 5 s); after that the store is followed, with a warning in the log. Each VM writes its lost entry again, at a random time within 2 s: 150 writes a second at 300 VMs. Configurations and servers have rules of their own.

--- a/internal/blackboard/gateway.go
+++ b/internal/blackboard/gateway.go
@@ -50,6 +50,8 @@
 	Zone string
 	// Address is the address to which other VMs connect, the zero value if they cannot.
 	Address netip.AddrPort
+	// Missing is set if the platform has lost the entry when it came back from a copy.
+	Missing bool
 }
 
 // MoveOrder is an operator's order to move the requests of a service to another version: a rollout object of the platform.
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,9 @@
 	// propagationDelay is how long it may take until a change made by this VM is visible in its copy of the list. It covers the
 	// detection of a failed reader and the failover to the next one.
 	propagationDelay = 5 * time.Second
+	// rewriteSpread is the time over which VMs spread the writes of their entries after the platform has lost them, so that those of
+	// 300 VMs stay far below the rate that the platform accepts.
+	rewriteSpread = 2 * time.Second
 )
 
 // Directory updates the platform's list of entry VMs.
@@ -59,6 +63,9 @@
 
 	// changedAt maps each VM to the time at which this VM last changed its entry. It is accessed only by the goroutine of Run.
 	changedAt map[string]time.Time
+	// rewriteAt is the time from which this VM writes its entry again after the platform has lost it, the zero time otherwise. It is
+	// accessed only by the goroutine of Run.
+	rewriteAt time.Time
 }
 
 // New returns an Enroller. Run has to be called to start it.
@@ -95,7 +102,19 @@
 // unresponsive, or the platform may have carried out a removal by an earlier process of this VM late.
 func (e *Enroller) needsEntry(now time.Time) bool {
 	list := e.o.Board.VMs.Read()
-	return (list.Loaded || e.o.FirstStart) && !slices.Contains(list.VMs, e.o.OwnEntry) && e.mayChange(e.o.OwnEntry.Name, now)
+	if slices.Contains(list.VMs, e.o.OwnEntry) {
+		e.rewriteAt = time.Time{}
+		return false
+	}
+	lost := e.o.OwnEntry
+	lost.Missing = true
+	if !slices.Contains(list.VMs, lost) {
+		return (list.Loaded || e.o.FirstStart) && e.mayChange(e.o.OwnEntry.Name, now)
+	}
+	if e.rewriteAt.IsZero() {
+		e.rewriteAt = now.Add(rand.N(rewriteSpread))
+	}
+	return !now.Before(e.rewriteAt) && e.mayChange(e.o.OwnEntry.Name, now)
 }
 
 // mayChange reports whether enough time has passed since this VM last changed the entry that the change is visible in the list.
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -168,3 +168,42 @@
 	d.waitListed(t, "lost", false)
 	assert.Assert(t, d.contains("vm"))
 }
+
+// Guards against a VM that does not write its entry again after the platform has lost it, and against VMs that all do so at once.
+func TestLostEntryIsWrittenAgainLater(t *testing.T) {
+	d := newFakeDirectory()
+	lost := d.self
+	lost.Missing = true
+	d.update(func() { d.vms[d.self.Name] = lost })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clock := timer.NewVirtual(time.Unix(1000, 0))
+	e := enroller.New(enroller.Options{
+		OwnEntry:        d.self,
+		Board:           d.board,
+		Directory:       d,
+		UnresponsiveVMs: func(context.Context, time.Time) []string { return nil },
+		Timer:           clock,
+		Log:             zerolog.Nop(),
+	})
+	delays := map[time.Duration]bool{}
+	go e.Run(ctx)
+	for range 20 {
+		lostAt := clock.Now()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			clock.Advance(50 * time.Millisecond)
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if d.vms[d.self.Name] == d.self {
+				return poll.Success()
+			}
+			return poll.Continue("the entry has not been written again")
+		}, poll.WithDelay(time.Millisecond), poll.WithTimeout(10*time.Second))
+		delay := clock.Now().Sub(lostAt)
+		assert.Assert(t, delay <= 4*time.Second, delay)
+		delays[delay.Round(500*time.Millisecond)] = true
+		clock.Advance(10 * time.Second)
+		d.update(func() { d.vms[d.self.Name] = lost })
+	}
+	assert.Assert(t, len(delays) > 1, "all delays are alike: %v", delays)
+}
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -54,6 +54,14 @@
 	// missedHeartbeats intervals.
 	defaultHeartbeatInterval = 2 * time.Second
 	missedHeartbeats         = 3
+	// missingRetention is how long an object stays in force that the platform has lost when it came back from a copy, and
+	// outdatedRetention how long one stays out of force that had been deleted or changed. Operators and VMs write what was lost again
+	// within a few seconds.
+	missingRetention  = 30 * time.Second
+	outdatedRetention = 10 * time.Second
+	// outdatedEvacuationRetention is shorter because an operator who orders an evacuation that the copy contains causes no event, and the
+	// order has to be in force within the 5 s that the platform allows.
+	outdatedEvacuationRetention = 3 * time.Second
 	// drainMargin is subtracted from the drain timeout of a backend server, so that the last requests sent to it can complete.
 	drainMargin = time.Second
 	// housekeepingPeriod is the interval between checks for changes that occur over time: grace periods that end, the health of
@@ -120,6 +128,7 @@
 	// crashExchanger exchanges the reports of the isolator with other zones.
 	crashExchanger *isolator.Exchanger
 	serverSink     *syncer.ServerSink
+	retainers      []*syncer.Retainer
 	acceptor       *acceptor.Acceptor
 	drainer        *drainer.Drainer
 	// recorder stamps the messages that VMs exchange and the events that they record.
@@ -255,35 +264,49 @@
 	})
 }
 
+// changeLogs returns the change logs of all kinds, that of the list of VMs last.
+func (g *Gateway) changeLogs(log zerolog.Logger) []*syncer.ChangeLog {
+	retain := func(kind string, outdated time.Duration, sink syncer.Sink) *syncer.ChangeLog {
+		r := syncer.NewRetainer(kind, sink, syncer.Retention{
+			Missing:  missingRetention,
+			Outdated: outdated,
+		}, g.timer, log)
+		g.retainers = append(g.retainers, r)
+		return syncer.NewChangeLog(kind, r)
+	}
+	kinds := g.platform.Kinds
+	return []*syncer.ChangeLog{
+		syncer.NewChangeLog(kinds.Config, &syncer.ConfigSink{
+			Board:  g.board,
+			Decode: g.platform.DecodeConfig,
+			Log:    log,
+		}),
+		syncer.NewChangeLog(kinds.Server, g.serverSink),
+		retain(kinds.Evacuation, outdatedEvacuationRetention, &syncer.EvacuationSink{
+			Board: g.board,
+			Log:   log,
+		}),
+		retain(kinds.Move, outdatedRetention, &syncer.RolloutSink{
+			Decode:   g.platform.DecodeMove,
+			OnChange: g.promoter.SetOrders,
+			Log:      log,
+		}),
+		retain(kinds.VM, outdatedRetention, &syncer.VMSink{
+			Board:    g.board,
+			Log:      log,
+			OnChange: g.setVMCount,
+		}),
+	}
+}
+
 func (g *Gateway) buildSyncer() {
 	log := g.logger.Part("follower")
-	vms := syncer.NewChangeLog(g.platform.Kinds.VM, &syncer.VMSink{
-		Board:    g.board,
-		Log:      log,
-		OnChange: g.setVMCount,
-	})
+	logs := g.changeLogs(log)
 	g.syncer = syncer.New(syncer.Options{
-		Name: g.cfg.Name,
-		Zone: g.cfg.Zone,
-		Logs: []*syncer.ChangeLog{
-			syncer.NewChangeLog(g.platform.Kinds.Config, &syncer.ConfigSink{
-				Board:  g.board,
-				Decode: g.platform.DecodeConfig,
-				Log:    log,
-			}),
-			syncer.NewChangeLog(g.platform.Kinds.Server, g.serverSink),
-			syncer.NewChangeLog(g.platform.Kinds.Evacuation, &syncer.EvacuationSink{
-				Board: g.board,
-				Log:   log,
-			}),
-			syncer.NewChangeLog(g.platform.Kinds.Move, &syncer.RolloutSink{
-				Decode:   g.platform.DecodeMove,
-				OnChange: g.promoter.SetOrders,
-				Log:      log,
-			}),
-			vms,
-		},
-		VMLog:      vms,
+		Name:       g.cfg.Name,
+		Zone:       g.cfg.Zone,
+		Logs:       logs,
+		VMLog:      logs[len(logs)-1],
 		FirstStart: g.cfg.Bootstrap,
 		Source:     g.platform.Source,
 		Client:     g.peerPool,
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -100,6 +100,9 @@
 // updates the reachability.
 func (g *Gateway) updateTimeDependentState(now time.Time) {
 	g.serverSink.Expire(now)
+	for _, r := range g.retainers {
+		r.Expire(now)
+	}
 	for _, change := range g.balancer.HealthChanges(now) {
 		g.healthLog.Info().Str("Server", change.Server.ID).Bool("SlowOrFailing", change.Degraded).Bool("Unreachable", change.Ejected).Bool("Leaving", change.Leaving).Bool("Paused", change.Paused).Float64("Slowness", change.Slowness).
 			Float64("Failures", change.Failures).Dur("Age", change.Age).Msg("The health of a backend server changed.")
--- a/internal/storeclient/source.go
+++ b/internal/storeclient/source.go
@@ -20,6 +20,9 @@
 	// Created and Revision are the store's revisions of the object's creation and last change.
 	Created  uint64
 	Revision uint64
+	// Retained is set by this system on an object of an earlier era that stays in use although the platform has lost it, or has it in an
+	// earlier state.
+	Retained bool
 }
 
 // Position is a point in the history of the platform's store. The revisions of two eras are not comparable: a store that comes back
--- a/internal/syncer/eras_test.go
+++ b/internal/syncer/eras_test.go
@@ -37,7 +37,8 @@
 		case "changes":
 			assert.Equal(t, l.Apply(position(t, words[1]), batch(t, words[2], words[3:])), accepted, line)
 		case "since":
-			u, _, _ := l.ChangesSince(position(t, words[1]))
+			u, synced, _ := l.ChangesSince(position(t, words[1]))
+			assert.Assert(t, synced)
 			got := "nothing"
 			switch {
 			case u != nil && u.Whole:
--- a/internal/syncer/sinks.go
+++ b/internal/syncer/sinks.go
@@ -296,6 +296,7 @@
 			Name:    item.Name,
 			Zone:    e.Zone,
 			Address: e.Address,
+			Missing: item.Retained,
 		}
 	}
 	s.Board.VMs.Write(&blackboard.VMList{
@@ -325,9 +326,22 @@
 	s.Apply(b)
 }
 
-// Restore discards all orders and applies the list b of a new era.
+// Restore discards all orders and applies the list b of a new era. A retained order remains that of its era.
 func (s *RolloutSink) Restore(b storeclient.Batch) {
-	s.Replace(b)
+	before := s.orders
+	s.orders = map[string]blackboard.MoveOrder{}
+	var listed []storeclient.Item
+	for _, item := range b.Items {
+		order, ok := before[item.Name]
+		switch {
+		case !item.Retained:
+			listed = append(listed, item)
+		case ok:
+			s.orders[item.Name] = order
+		}
+	}
+	b.Items = listed
+	s.Apply(b)
 }
 
 // Apply applies changes of orders. An invalid order is logged and ignored; an earlier version of it stays.
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -280,6 +280,9 @@
 			delete(s.values, item.Name)
 		} else {
 			s.values[item.Name] = string(item.Value)
+			if item.Retained {
+				s.values[item.Name] += "*"
+			}
 		}
 	}
 }
