Log what differs when the store comes back from a copy

Cause: the logs did not show whether a VM had read a new era, nor which servers it kept or left out because of it.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -178,8 +178,9 @@
 }
 
 // Restore replaces all entries by the list of a platform that has come back from a copy. A server that the list lacks lapses, because it
-// registers again if it is alive. A process that had left before is not used although it is listed.
-func (d *Discoverer) Restore(now time.Time, revision uint64, list []Change) {
+// registers again if it is alive. A process that had left before is not used although it is listed. It returns the IDs of the listed
+// servers that are not used and of those that lapse, in sorted order.
+func (d *Discoverer) Restore(now time.Time, revision uint64, list []Change) (hidden, lapsed []string) {
 	for k, dep := range d.departed {
 		dep.hidden = true
 		dep.until = now.Add(d.cfg.ReturnDelay)
@@ -216,10 +217,19 @@
 				until:    now.Add(d.cfg.GracePeriod),
 				inOutage: true,
 			}
+			lapsed = append(lapsed, id)
 		}
 	}
 	d.loaded = true
 	d.Apply(now, revision, current)
+	for _, c := range list {
+		if c.Server != nil && !c.Server.Draining && d.isHidden(c.Server) {
+			hidden = append(hidden, c.ID)
+		}
+	}
+	slices.Sort(hidden)
+	slices.Sort(lapsed)
+	return hidden, lapsed
 }
 
 // known returns the server that is known under an ID, nil if there is none.
--- a/internal/syncer/sinks.go
+++ b/internal/syncer/sinks.go
@@ -46,6 +46,7 @@
 // Restore installs the newest configuration of the list if it is newer than the one in force. A configuration that the platform has lost
 // stays in force.
 func (c *ConfigSink) Restore(b storeclient.Batch) {
+	c.Log.Info().Uint64("Era", b.Era).Uint64("Revision", b.Revision).Uint64("InForce", c.Board.Routes.Read().Version).Msg("The platform has come back from a copy.")
 	c.Apply(b)
 }
 
@@ -117,7 +118,10 @@
 func (s *ServerSink) Restore(b storeclient.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.discoverer.Restore(s.timer.Now(), b.Revision, s.changes(b))
+	before := s.discoverer.View()
+	hidden, lapsed := s.discoverer.Restore(s.timer.Now(), b.Revision, s.changes(b))
+	s.log.Info().Uint64("Era", b.Era).Uint64("Revision", b.Revision).Uint64("RevisionBefore", before.Revision).Int("Listed", len(b.Items)).Strs("Hidden", hidden[:min(len(hidden), maxLogged)]).
+		Strs("Lapsed", lapsed[:min(len(lapsed), maxLogged)]).Msg("The platform has come back from a copy; servers that had left are not used, and servers that the copy lacks are used until they register again.")
 	s.publish()
 }
 
