Let a move go on in a new era also if its duration was changed

Cause: an order of a later era continued the one before only with the same duration, although a change of the duration within an era keeps the evidence and the outcome. Change: the service and the version decide. Two comments say what they mean.

--- a/internal/blackboard/gateway.go
+++ b/internal/blackboard/gateway.go
@@ -72,7 +72,7 @@
 
 // Continues reports whether the order is the order o, as the platform has it again after it came back from a copy.
 func (m MoveOrder) Continues(o MoveOrder) bool {
-	return m.Era > o.Era && m.Service == o.Service && m.To == o.To && m.Duration == o.Duration
+	return m.Era > o.Era && m.Service == o.Service && m.To == o.To
 }
 
 // IsFinal reports whether a move with the outcome has ended.
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -95,8 +95,8 @@
 	final bool
 	// at is the time at which this was last learned.
 	at time.Time
-	// hidden is set if the platform has come back from a copy since. The process is then not used, if final is not set until the time
-	// until.
+	// hidden is set if the platform has come back from a copy since. The process is then not used, or not before until if final is not
+	// set.
 	hidden bool
 	until  time.Time
 }
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -98,7 +98,7 @@
 
 // SetOrders replaces the move orders with the given ones, which are all orders at a revision of the platform, keyed by the names
 // of their objects. Evidence collected for an order is kept unless its ID or target version has changed. An order of a new era
-// continues the equal one of the era before.
+// continues the one of the era before for the same version.
 func (p *Promoter) SetOrders(revision uint64, orders map[string]blackboard.MoveOrder) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
