--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 # Plays the seeds FROM-TO of the soaks, one after the other. See docs/SOAK.md.
 SEEDS := 1-5
 soak: build
-	SOAK_SEEDS=$(SEEDS) STOP_SEEDS=$(SEEDS) TEST_BIN_DIR=$(BIN) go test -count=1 -v -timeout 0 -run '^(TestSoak|TestStopsUnderKeptConnections)$$' ./platform
+	SOAK_SEEDS=$(SEEDS) STOP_SEEDS=$(SEEDS) RESTORE_SEEDS=$(SEEDS) TEST_BIN_DIR=$(BIN) go test -count=1 -v -timeout 0 -run '^(TestSoak|TestStopsUnderKeptConnections|TestRestoresUnderLoad)$$' ./platform
 
 lint: tools
 	test -z "$$($(BIN)/gofumpt -l cmd internal platform)" || { $(BIN)/gofumpt -d cmd internal platform; exit 1; }
