--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -122,6 +123,7 @@
 		address:  netip.MustParseAddrPort(ln.Addr().String()),
 		listener: ln,
 		conns:    map[net.Conn]bool{},
+		sessions: map[*session]bool{},
 	}
 	n.mu.Lock()
 	n.proxies = append(n.proxies, p)
@@ -153,6 +155,8 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	closed   bool
+	// sessions contains the open connections.
+	sessions map[*session]bool
 }
 
 // Addr returns the listen address of the proxy, which does not change when the listener is reopened.
@@ -169,6 +173,15 @@
 	}
 }
 
+// SilenceConnections makes the proxy discard all further data of the open connections without closing them. New connections work.
+func (p *Proxy) SilenceConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s := range p.sessions {
+		s.silent.Store(true)
+	}
+}
+
 func (p *Proxy) close() {
 	p.mu.Lock()
 	p.closed = true
@@ -260,12 +273,26 @@
 	sourceZone string
 	client     net.Conn
 	server     net.Conn
+	// silent is set if the data of both directions is discarded.
+	silent atomic.Bool
+}
+
+func (p *Proxy) trackSession(s *session, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if open {
+		p.sessions[s] = true
+	} else {
+		delete(p.sessions, s)
+	}
 }
 
 func (s *session) run() {
 	p := s.proxy
 	p.track(s.client, true)
 	defer p.track(s.client, false)
+	p.trackSession(s, true)
+	defer p.trackSession(s, false)
 	defer s.client.Close() //nolint:errcheck // the connection has already ended
 	server, err := net.Dial("tcp", p.target.String())
 	if err != nil {
@@ -277,8 +304,8 @@
 	p.track(server, true)
 	defer p.track(server, false)
 	defer server.Close() //nolint:errcheck // the connection has already ended
-	toServer := newPipe(p.network, newLink(s.sourceZone, p.zone), s.client, server)
-	toClient := newPipe(p.network, newLink(p.zone, s.sourceZone), server, s.client)
+	toServer := newPipe(p.network, &s.silent, newLink(s.sourceZone, p.zone), s.client, server)
+	toClient := newPipe(p.network, &s.silent, newLink(p.zone, s.sourceZone), server, s.client)
 	go toServer.run()
 	go toClient.run()
 	<-toServer.done
@@ -302,6 +329,7 @@
 // pipe forwards one direction of a connection.
 type pipe struct {
 	network *Network
+	silent  *atomic.Bool
 	link    Link
 	src     net.Conn
 	dst     net.Conn
@@ -309,9 +337,10 @@
 	done    chan struct{}
 }
 
-func newPipe(n *Network, l Link, src, dst net.Conn) *pipe {
+func newPipe(n *Network, silent *atomic.Bool, l Link, src, dst net.Conn) *pipe {
 	return &pipe{
 		network: n,
+		silent:  silent,
 		link:    l,
 		src:     src,
 		dst:     dst,
@@ -347,6 +376,9 @@
 		for p.network.isPartitioned(p.link) {
 			time.Sleep(partitionPollInterval)
 		}
+		if p.silent.Load() {
+			continue
+		}
 		if _, err := p.dst.Write(c.data); err != nil {
 			_ = p.src.Close()
 			for range p.chunks { //nolint:revive // discards the chunks that run still queues
