Test that a VM does not go on with a source that states no eras

Cause: no test failed when syncFromVM took a source in an earlier era, or of an earlier release, for a current one.

--- a/internal/syncer/eras_test.go
+++ b/internal/syncer/eras_test.go
@@ -110,3 +110,21 @@
 	p.put(kindObject, "a", "3")
 	waitForValue(t, sinks, "3")
 }
+
+// The VMs of a zone reply without eras, like those of a release that does not read them. Guards against a VM that goes on with a source
+// whose objects it cannot place in the history of the platform, and so receives no changes.
+func TestSourceWithoutErasIsPassedOver(t *testing.T) {
+	p := newPlatform()
+	p.restore(0)
+	p.put(kindObject, "a", "1")
+	sinks, network := startVMsExcept(t, p, 3)
+	waitForValue(t, sinks, "1")
+	network.mu.Lock()
+	network.withoutEras = true
+	network.mu.Unlock()
+	p.put(kindObject, "a", "2")
+	waitForValue(t, sinks, "2")
+	p.restore(p.since(kindObject, 0).Revision - 1)
+	p.put(kindObject, "a", "3")
+	waitForValue(t, sinks, "3")
+}
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -217,6 +217,8 @@
 	servers map[netip.AddrPort]*syncer.FeedServer
 	// unresponsive contains the addresses of VMs that are on the list and do not answer.
 	unresponsive map[netip.AddrPort]bool
+	// withoutEras makes all VMs reply like those of an earlier release, which state no eras.
+	withoutEras bool
 	// requested maps each VM to the addresses of the sources that it has requested updates from.
 	requested map[string]map[netip.AddrPort]bool
 	// longestTimeout is the longest timeout of a call to an unresponsive VM.
@@ -234,6 +236,7 @@
 	}
 	s := n.servers[addr]
 	unresponsive := n.unresponsive[addr]
+	withoutEras := n.withoutEras
 	if end, ok := ctx.Deadline(); ok && unresponsive {
 		n.longestTimeout = max(n.longestTimeout, time.Until(end))
 	}
@@ -245,7 +248,15 @@
 	if s == nil {
 		return errors.New("the VM is not running")
 	}
-	return s.Follow(args.(messenger.FollowRequest), reply.(*messenger.FollowReply))
+	follow := reply.(*messenger.FollowReply)
+	err := s.Follow(args.(messenger.FollowRequest), follow)
+	if withoutEras {
+		follow.Eras = nil
+		for i := range follow.Updates {
+			follow.Updates[i].Era = 0
+		}
+	}
+	return err
 }
 
 // recordingSink is a Sink that records the last value of each object.
