--- a/internal/syncer/platformreader.go
+++ b/internal/syncer/platformreader.go
@@ -134,7 +134,7 @@
 	if !r.platformDown {
 		r.platformDown = true
 		r.downSince = now
-		r.log.Warn().Str("Kind", r.changes.kind).Err(err).Msg("The platform does not answer, or with older objects.")
+		r.log.Warn().Str("Kind", r.changes.kind).Err(err).Msg("The platform does not answer.")
 		r.changes.SetPlatformDown(true)
 	}
 	r.backoff = min(max(minBackoff, 2*r.backoff), maxBackoff)
