Log what a VM learns of requests that crash backend servers

It was not possible to tell a crash that was not taken from one that was not seen, or from an answer that had cleared the request.

Each crash is logged with the request, its key and the number in sequence, each broken connection whose server is not known to have crashed, each answer that clears crashes with the server and its status, each change by reports of other VMs, and each restriction dropped for lack of room. Counters state how often. No decision changes: the tests of isolator and dispatcher pass as they were.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -233,7 +233,7 @@
 		Sender:   f.sender,
 		Observer: discardObserver{},
 		Isolator: crashed,
-		Checker:  isolator.NewChecker(crashed, f.sender, timer.NewWall()),
+		Checker:  isolator.NewChecker(crashed, f.sender, timer.NewWall(), zerolog.Nop()),
 		Timer:    timer.NewWall(),
 		Log:      zerolog.Nop(),
 		Metrics:  dispatcher.NewMetrics(prometheus.NewRegistry()),
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -401,10 +401,19 @@
 	switch {
 	case err == nil && !reply.NotRun && !reply.Misdirected:
 		if j.d.o.Isolator.Active() {
-			j.d.o.Isolator.RecordSurvival(j.key(s), now)
+			j.d.o.Isolator.RecordSurvival(j.key(s), isolator.Answer{
+				Request: j.request.ID,
+				Server:  a.endpoint.ID,
+				Status:  reply.Status,
+			}, now)
 		}
 	case classifier.CodeOf(err) == classifier.ConnectionReset:
-		j.d.o.Checker.ConnectionBroke(a.endpoint.Server, j.key(s), startedAt, now)
+		j.d.o.Checker.ConnectionBroke(a.endpoint.Server, isolator.Crash{
+			Key:     j.key(s),
+			Request: j.request.ID,
+			Began:   startedAt,
+			At:      now,
+		})
 	}
 }
 
--- a/internal/isolator/checker.go
+++ b/internal/isolator/checker.go
@@ -5,9 +5,12 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/anvildyke/anvildyke/internal/discoverer"
 	"github.com/anvildyke/anvildyke/internal/timer"
 )
@@ -30,6 +33,10 @@
 	isolator *Isolator
 	dialer   Dialer
 	timer    *timer.Service
+	log      zerolog.Logger
+	// alive and unknown count the checks that found a listening process, or could not find out whether there is one.
+	alive   atomic.Uint64
+	unknown atomic.Uint64
 
 	mu sync.Mutex
 	// pending contains the requests that ran at each server that is being checked.
@@ -37,27 +44,24 @@
 }
 
 // NewChecker returns a Checker. It starts a goroutine for each server that is checked.
-func NewChecker(i *Isolator, d Dialer, t *timer.Service) *Checker {
+func NewChecker(i *Isolator, d Dialer, t *timer.Service, log zerolog.Logger) *Checker {
 	return &Checker{
 		isolator: i,
 		dialer:   d,
 		timer:    t,
+		log:      log,
 		pending:  map[discoverer.Key][]Crash{},
 	}
 }
 
-// ConnectionBroke records that the connection to a server broke at a time while a request with the key ran there since began.
-func (c *Checker) ConnectionBroke(s *discoverer.Server, k Key, began, at time.Time) {
+// ConnectionBroke checks the server after a connection to it broke while a request ran there. It sets the server of c.
+func (c *Checker) ConnectionBroke(s *discoverer.Server, crash Crash) {
 	key := s.Key()
+	crash.Server = key.Hash()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, running := c.pending[key]
-	c.pending[key] = append(c.pending[key], Crash{
-		Key:    k,
-		Server: key.Hash(),
-		Began:  began,
-		At:     at,
-	})
+	c.pending[key] = append(c.pending[key], crash)
 	if running {
 		return
 	}
@@ -68,6 +72,13 @@
 	go check.run()
 }
 
+// Alive returns the number of servers that were found to listen after a connection with a running request broke, and Unknown the number
+// of those that neither accepted nor refused a connection.
+func (c *Checker) Alive() uint64 { return c.alive.Load() }
+
+// Unknown is described at Alive.
+func (c *Checker) Unknown() uint64 { return c.unknown.Load() }
+
 // check finds out whether one server has crashed.
 type check struct {
 	checker *Checker
@@ -76,16 +87,17 @@
 
 func (ch *check) run() {
 	c := ch.checker
-	crashed := ch.refused()
-	if !crashed {
+	err := ch.dial()
+	if !errors.Is(err, syscall.ECONNREFUSED) {
 		c.timer.Sleep(context.Background(), recheckDelay)
-		crashed = ch.refused()
+		err = ch.dial()
 	}
 	c.mu.Lock()
 	crashes := c.pending[ch.key]
 	delete(c.pending, ch.key)
 	c.mu.Unlock()
-	if !crashed {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		ch.reportNoCrash(crashes, err)
 		return
 	}
 	now := c.timer.Now()
@@ -94,9 +106,22 @@
 	}
 }
 
-// refused reports whether no process listens at the server's address. A server that cannot be reached for another reason may still run.
-func (ch *check) refused() bool {
+// reportNoCrash reports that the server is not known to have crashed. A server that cannot be reached may still run.
+func (ch *check) reportNoCrash(crashes []Crash, err error) {
+	c := ch.checker
+	if err == nil {
+		c.alive.Add(1)
+	} else {
+		c.unknown.Add(1)
+	}
+	for _, crash := range crashes {
+		c.log.Info().Str("Request", crash.Request).Uint64("Key", uint64(crash.Key)).Str("Server", ch.key.ID).Bool("Listens", err == nil).Err(err).Msg("The connection to a backend server broke while a request ran, but the server is not known to have crashed.")
+	}
+}
+
+// dial tries to open a connection to the server. It is refused if no process listens there.
+func (ch *check) dial() error {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	return errors.Is(ch.checker.dialer.Reach(ctx, ch.key.Address), syscall.ECONNREFUSED)
+	return ch.checker.dialer.Reach(ctx, ch.key.Address)
 }
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -66,6 +67,8 @@
 // Crash is the crash of a server that ran a request.
 type Crash struct {
 	Key Key
+	// Request is the ID of the request, "" if another VM has sent it. It is only logged.
+	Request string
 	// Server is the hash of the key of the server's process.
 	Server uint64
 	// Began is the time at which the request was sent to the server, At the time at which its connection broke.
@@ -73,6 +76,13 @@
 	At    time.Time
 }
 
+// Answer is the answer of a server to a request. It is only logged.
+type Answer struct {
+	Request string
+	Server  string
+	Status  int
+}
+
 // entry is what is known of the requests with a key.
 type entry struct {
 	// crashes are ordered by time. There is at most one for each process of a server, and all are later than provedAt.
@@ -116,6 +126,10 @@
 	// tracked is the number of entries. It is read without the lock, so that nothing is computed for a request while no server
 	// has crashed.
 	tracked atomic.Int64
+	// crashes, lifted and forgotten are returned by Crashes, Lifted and Forgotten.
+	crashes   atomic.Uint64
+	lifted    atomic.Uint64
+	forgotten atomic.Uint64
 }
 
 // New returns an Isolator that has seen no crash.
@@ -135,6 +149,11 @@
 func (i *Isolator) Admit(k Key, now time.Time) Admission {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	return i.admit(k, now)
+}
+
+// admit is Admit. The caller must hold i.mu.
+func (i *Isolator) admit(k Key, now time.Time) Admission {
 	e, ok := i.entries[k]
 	if !ok {
 		return Free{}
@@ -157,21 +176,41 @@
 	}
 }
 
+// Crashes returns how often this VM has seen a request run at the crash of a server, Lifted how often an answer has ended the restriction of
+// requests, and Forgotten how many restricted requests were dropped for lack of room.
+func (i *Isolator) Crashes() uint64 { return i.crashes.Load() }
+
+// Lifted is described at Crashes.
+func (i *Isolator) Lifted() uint64 { return i.lifted.Load() }
+
+// Forgotten is described at Crashes.
+func (i *Isolator) Forgotten() uint64 { return i.forgotten.Load() }
+
 // RecordCrash records that a server crashed while it ran a request.
 func (i *Isolator) RecordCrash(c Crash, now time.Time) {
+	i.crashes.Add(1)
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.add(c, now)
+	taken := i.add(c, now)
+	i.log.Info().Str("Request", c.Request).Uint64("Key", uint64(c.Key)).Uint64("Server", c.Server).Bool("Taken", taken).Int("InSequence", i.inSequence(c.Key)).Time("Began", c.Began).Time("At", c.At).Msg("A backend server crashed while it ran a request.")
 }
 
-// add records a crash. The caller must hold i.mu.
-func (i *Isolator) add(c Crash, now time.Time) {
+// inSequence returns the number of crashes in sequence of requests with the key. The caller must hold i.mu.
+func (i *Isolator) inSequence(k Key) int {
+	if e, ok := i.entries[k]; ok {
+		return e.sequence()
+	}
+	return 0
+}
+
+// add records a crash and reports whether it was not known. The caller must hold i.mu.
+func (i *Isolator) add(c Crash, now time.Time) bool {
 	e := i.entry(c.Key)
 	sameServer := func(known Crash) bool {
 		return known.Server == c.Server
 	}
 	if !c.At.After(e.provedAt) || len(e.crashes) >= maxSequence || slices.ContainsFunc(e.crashes, sameServer) {
-		return
+		return false
 	}
 	before := e.admission(now)
 	e.crashes = append(e.crashes, c)
@@ -189,7 +228,8 @@
 			i.log.Warn().Uint64("Key", uint64(c.Key)).Int("Crashes", e.sequence()).Time("Until", after.Until).Msg("Requests are refused because equal ones crashed backend servers.")
 		}
 	}
-	i.evict()
+	i.evict(now)
+	return true
 }
 
 // entry returns the entry of a key, which it creates if necessary. The caller must hold i.mu.
@@ -204,7 +244,7 @@
 }
 
 // evict removes the entry that changed longest ago while there are too many. The caller must hold i.mu.
-func (i *Isolator) evict() {
+func (i *Isolator) evict(now time.Time) {
 	for len(i.entries) > maxEntries {
 		var oldest Key
 		var at time.Time
@@ -213,18 +253,33 @@
 				oldest, at = k, e.changedAt
 			}
 		}
+		if _, free := i.entries[oldest].admission(now).(Free); !free {
+			i.forgotten.Add(1)
+			i.log.Warn().Uint64("Key", uint64(oldest)).Msg("Requests that crashed backend servers are no longer restricted, because too many are tracked.")
+		}
 		delete(i.entries, oldest)
 	}
 	i.tracked.Store(int64(len(i.entries)))
 }
 
 // RecordSurvival records that a server has answered a request with the key, which shows that the request crashes no servers.
-func (i *Isolator) RecordSurvival(k Key, now time.Time) {
+func (i *Isolator) RecordSurvival(k Key, a Answer, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if e, ok := i.entries[k]; ok {
-		e.prove(now, now)
+	e, ok := i.entries[k]
+	if !ok {
+		return
+	}
+	_, free := e.admission(now).(Free)
+	n := len(e.crashes)
+	e.prove(now, now)
+	if n == 0 {
+		return
 	}
+	if !free {
+		i.lifted.Add(1)
+	}
+	i.log.Info().Str("Request", a.Request).Uint64("Key", uint64(k)).Str("Server", a.Server).Int("Status", a.Status).Int("Crashes", n).Bool("Restricted", !free).Msg("An answer shows that requests did not cause the crashes they ran at.")
 }
 
 // prove discards the crashes up to the time at.
@@ -307,19 +362,35 @@
 		if r.At.Sub(now) > maxClockDifference || now.Sub(r.At) > 2*isolationTime {
 			continue
 		}
-		if r.Survived {
-			if e, ok := i.entries[Key(r.Key)]; ok {
-				e.prove(r.At, now)
-			}
-			continue
+		before := i.admit(Key(r.Key), now)
+		i.merge(r, now)
+		i.logChange(Key(r.Key), before, now)
+	}
+}
+
+// merge adds the report of another VM. The caller must hold i.mu.
+func (i *Isolator) merge(r messenger.CrashReport, now time.Time) {
+	if r.Survived {
+		if e, ok := i.entries[Key(r.Key)]; ok {
+			e.prove(r.At, now)
 		}
-		i.add(Crash{
-			Key:    Key(r.Key),
-			Server: r.Server,
-			Began:  r.Began,
-			At:     r.At,
-		}, now)
+		return
+	}
+	i.add(Crash{
+		Key:    Key(r.Key),
+		Server: r.Server,
+		Began:  r.Began,
+		At:     r.At,
+	}, now)
+}
+
+// logChange logs that reports of other VMs have changed the admission of requests. The caller must hold i.mu.
+func (i *Isolator) logChange(k Key, before Admission, now time.Time) {
+	after := i.admit(k, now)
+	if fmt.Sprintf("%T", before) == fmt.Sprintf("%T", after) {
+		return
 	}
+	i.log.Info().Uint64("Key", uint64(k)).Type("Before", before).Type("After", after).Msg("Reports of other VMs changed how many backend servers requests may be sent to.")
 }
 
 // Isolated returns the number of keys whose requests are refused.
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -52,7 +52,7 @@
 				At:     now,
 			}, now)
 		case "survive":
-			i.RecordSurvival(key(words[1]), now)
+			i.RecordSurvival(key(words[1]), isolator.Answer{}, now)
 		case "exchange":
 			reports := own.Reports(now)
 			own.Merge(other.Reports(now), now)
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -125,6 +125,7 @@
 	pooler        *pooler.Pooler
 	budgeter      *budgeter.Budgeter
 	isolator      *isolator.Isolator
+	crashChecker  *isolator.Checker
 	// crashExchanger exchanges the reports of the isolator with other zones.
 	crashExchanger *isolator.Exchanger
 	serverSink     *syncer.ServerSink
@@ -170,7 +171,9 @@
 			FixedAllowance: cfg.RetryExtra,
 		}, initialVMCount),
 	}
-	g.isolator = isolator.New(l.Part("isolator"))
+	isolatorLog := l.RateLimitedPart("isolator", droppedLines)
+	g.isolator = isolator.New(isolatorLog)
+	g.crashChecker = isolator.NewChecker(g.isolator, g.pooler, g.timer, isolatorLog)
 	g.balancer.SetVMCount(initialVMCount)
 	if cfg.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(cfg.MemoryBytes)))
@@ -259,11 +262,26 @@
 	g.exporter.Gauge("isolated_requests", "Contents of requests that are refused because they crashed backend servers.", func() float64 {
 		return float64(g.isolator.Isolated(g.timer.Now()))
 	})
+	g.registerCrashMetrics()
 	g.exporter.Gauge("vms", "Entry VMs on the platform's list.", func() float64 {
 		return float64(len(g.board.VMs.Read().VMs))
 	})
 }
 
+// registerCrashMetrics adds the metrics of requests that ran at crashes of backend servers.
+func (g *Gateway) registerCrashMetrics() {
+	counter := func(name, help string, value func() uint64) {
+		g.exporter.Counter(name, help, func() float64 {
+			return float64(value())
+		})
+	}
+	counter("crashes_with_requests_total", "Crashes of backend servers, one for each request of this VM that ran there.", g.isolator.Crashes)
+	counter("crash_checks_alive_total", "Backend servers that listened after a connection with a running request broke.", g.crashChecker.Alive)
+	counter("crash_checks_unknown_total", "Backend servers that could not be reached after a connection with a running request broke.", g.crashChecker.Unknown)
+	counter("restrictions_lifted_total", "Restrictions of requests that an answer of a backend server has ended.", g.isolator.Lifted)
+	counter("restrictions_forgotten_total", "Restrictions of requests that were dropped for lack of room.", g.isolator.Forgotten)
+}
+
 // changeLogs returns the change logs of all kinds, that of the list of VMs last.
 func (g *Gateway) changeLogs(log zerolog.Logger) []*syncer.ChangeLog {
 	retain := func(kind string, outdated time.Duration, sink syncer.Sink) *syncer.ChangeLog {
@@ -389,7 +407,7 @@
 			},
 			Observer: g.promoter,
 			Isolator: g.isolator,
-			Checker:  isolator.NewChecker(g.isolator, g.pooler, g.timer),
+			Checker:  g.crashChecker,
 			Timer:    g.timer,
 			Log:      g.logger.RateLimitedPart("dispatcher", g.droppedLines),
 			Metrics:  dispatcher.NewMetrics(g.exporter.Registry()),
