Keep the crashes that decide, however many overlap

Cause: an entry of the isolator held the first 8 crashes of a request. When equal requests arrive at many VMs at once, the crashes overlap, count as one in sequence and fill the entry, so that no later crash is taken: the logs had Taken false and InSequence 1 or 2 for each. Class of fault: a bounded memory that keeps what came first instead of what decides.

Change: an entry keeps only crashes in sequence, the last three. A crash that overlaps takes no room, each later one adds to the sequence, and none makes it shorter, in whatever order reports arrive.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -31,9 +31,8 @@
 	// reportDelay is the time before a crash is reported. Most requests that ran at a crash are answered by another server within
 	// that time, which shows that they did not cause it.
 	reportDelay = 300 * time.Millisecond
-	// maxEntries limits the number of requests that are tracked, and maxSequence the crashes of each.
-	maxEntries  = 2048
-	maxSequence = 8
+	// maxEntries limits the number of requests that are tracked.
+	maxEntries = 2048
 	// maxReported limits the number of crashes and proofs in a message.
 	maxReported = 128
 )
@@ -76,6 +75,11 @@
 	At    time.Time
 }
 
+// sameServer reports whether both are crashes of the same process, seen by different requests or VMs.
+func (c Crash) sameServer(other Crash) bool {
+	return c.Server == other.Server
+}
+
 // Answer is the answer of a server to a request. It is only logged.
 type Answer struct {
 	Request string
@@ -85,7 +89,8 @@
 
 // entry is what is known of the requests with a key.
 type entry struct {
-	// crashes are ordered by time. There is at most one for each process of a server, and all are later than provedAt.
+	// crashes are in sequence: each hit a request that was sent after the crash before. Requests that run when several servers crash at
+	// the same time are not blamed for each of these crashes. There are at most isolationCrashes, the last ones, all later than provedAt.
 	crashes []Crash
 	// provedAt is the last time at which a server is known to have survived a request, the zero time if none is known.
 	provedAt time.Time
@@ -95,18 +100,22 @@
 	wasSuspect bool
 }
 
-// sequence returns the number of crashes each of which hit a request that was sent after the crash before. Requests that run when
-// several servers crash at the same time are not blamed for each of these crashes.
-func (e *entry) sequence() int {
-	n := 0
-	var last time.Time
-	for _, c := range e.crashes {
-		if n == 0 || !c.Began.Before(last) {
-			n++
-			last = c.At
+// insert adds a crash and keeps the longest sequence, or its end if it is longer than isolationCrashes. It reports whether the crash is
+// part of what is kept. No crash makes the sequence shorter.
+func (e *entry) insert(c Crash) bool {
+	all := append(slices.Clone(e.crashes), c)
+	slices.SortStableFunc(all, func(a, b Crash) int {
+		return a.At.Compare(b.At)
+	})
+	// Taking the crash that ends first among those that do not overlap yields the longest sequence.
+	var sequence []Crash
+	for _, x := range all {
+		if len(sequence) == 0 || !x.Began.Before(sequence[len(sequence)-1].At) {
+			sequence = append(sequence, x)
 		}
 	}
-	return n
+	e.crashes = sequence[max(0, len(sequence)-isolationCrashes):]
+	return slices.ContainsFunc(e.crashes, c.sameServer)
 }
 
 // lastCrash returns the time of the last crash, the zero time if there is none.
@@ -162,7 +171,7 @@
 }
 
 func (e *entry) admission(now time.Time) Admission {
-	n := e.sequence()
+	n := len(e.crashes)
 	until := e.lastCrash().Add(isolationTime)
 	switch {
 	case n >= isolationCrashes && now.Before(until):
@@ -198,25 +207,21 @@
 // inSequence returns the number of crashes in sequence of requests with the key. The caller must hold i.mu.
 func (i *Isolator) inSequence(k Key) int {
 	if e, ok := i.entries[k]; ok {
-		return e.sequence()
+		return len(e.crashes)
 	}
 	return 0
 }
 
-// add records a crash and reports whether it was not known. The caller must hold i.mu.
+// add records a crash and reports whether it is now part of the sequence of its requests. The caller must hold i.mu.
 func (i *Isolator) add(c Crash, now time.Time) bool {
 	e := i.entry(c.Key)
-	sameServer := func(known Crash) bool {
-		return known.Server == c.Server
-	}
-	if !c.At.After(e.provedAt) || len(e.crashes) >= maxSequence || slices.ContainsFunc(e.crashes, sameServer) {
+	if !c.At.After(e.provedAt) || slices.ContainsFunc(e.crashes, c.sameServer) {
 		return false
 	}
 	before := e.admission(now)
-	e.crashes = append(e.crashes, c)
-	slices.SortFunc(e.crashes, func(a, b Crash) int {
-		return a.At.Compare(b.At)
-	})
+	if !e.insert(c) {
+		return false
+	}
 	e.changedAt = now
 	switch after := e.admission(now).(type) {
 	case Free:
@@ -225,7 +230,7 @@
 	case Refused:
 		e.wasSuspect = true
 		if _, ok := before.(Refused); !ok {
-			i.log.Warn().Uint64("Key", uint64(c.Key)).Int("Crashes", e.sequence()).Time("Until", after.Until).Msg("Requests are refused because equal ones crashed backend servers.")
+			i.log.Warn().Uint64("Key", uint64(c.Key)).Int("Crashes", len(e.crashes)).Time("Until", after.Until).Msg("Requests are refused because equal ones crashed backend servers.")
 		}
 	}
 	i.evict(now)
