Take only a success for a proof that a request crashes no servers

Cause: every answer without Not-Executed discarded all crashes of a request, at all VMs, a 500 or 503 of a server in trouble as well. Such a server may answer before it begins to run the request. Class of fault: the absence of a failure counts as evidence.

Change: only a signed success with status 2xx is a proof. A request that servers answer with failures alone stays restricted as it is.

The executor of the project's own interface clears a suspect after a success only; it does not have this fault.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -58,6 +58,10 @@
 	mu sync.Mutex
 	// crashed contains the addresses of the servers that have crashed.
 	crashed map[netip.AddrPort]bool
+	// troubled, if it is not "", is how servers react to every third request whose body is poison before they begin to run it. poisons
+	// counts these requests.
+	troubled behavior
+	poisons  int
 	// ran and sent count the requests per server. A request that a server rejects counts only as sent.
 	ran  map[string]int
 	sent map[string]int
@@ -80,6 +84,11 @@
 		b = refusesConnection
 	}
 	if b == crashes && string(r.Body) == poison {
+		f.poisons++
+	}
+	if b == crashes && string(r.Body) == poison && f.troubled != "" && f.poisons%3 == 0 {
+		b = f.troubled
+	} else if b == crashes && string(r.Body) == poison {
 		f.crashed[e.Address] = true
 		b = resets
 	}
@@ -509,6 +518,30 @@
 	assert.Equal(t, len(f.sender.crashed), 3)
 }
 
+// Servers in trouble answer some of the requests that would crash them with a failure. Guards against a failure that counts as a proof that the
+// request is harmless (issue 43).
+func TestFailureDoesNotEndIsolation(t *testing.T) {
+	for _, troubled := range []behavior{fails, "503", "429", "408"} {
+		t.Run(string(troubled), func(t *testing.T) {
+			t.Parallel()
+			var servers []string
+			for i := range 12 {
+				servers = append(servers, fmt.Sprintf("0%c=crash", 'a'+i))
+			}
+			f := newFixture("single", servers)
+			f.sender.troubled = troubled
+			for range 8 {
+				f.sendBody(context.Background(), poison)
+				// Longer than the check of a crashed server takes.
+				time.Sleep(200 * time.Millisecond)
+			}
+			f.sender.mu.Lock()
+			defer f.sender.mu.Unlock()
+			assert.Equal(t, len(f.sender.crashed), 3)
+		})
+	}
+}
+
 // Guards against a request that is isolated because servers reset its connections without a crash.
 func TestResetConnectionsIsolateNothing(t *testing.T) {
 	f := newFixture("single", []string{"0a=break", "0b=break", "0c=break"})
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -393,13 +393,14 @@
 	j.results <- r
 }
 
-// recordSurvival records whether the server has survived the request, if that is known. It runs before the result is delivered, so
+// recordSurvival records whether the server has survived the request, if that is known. Only a success shows that it has: a server in
+// trouble may answer with a failure before it begins to run a request, whatever the status. It runs before the result is delivered, so
 // that the job sees it in its next decision.
 func (a *attempt) recordSurvival(startedAt, now time.Time, reply Reply, err error) {
 	j := a.job
 	s := &j.shards[a.shard]
 	switch {
-	case err == nil && !reply.NotRun && !reply.Misdirected:
+	case err == nil && reply.Succeeded():
 		if j.d.o.Isolator.Active() {
 			j.d.o.Isolator.RecordSurvival(j.key(s), isolator.Answer{
 				Request: j.request.ID,
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -267,7 +267,7 @@
 	i.tracked.Store(int64(len(i.entries)))
 }
 
-// RecordSurvival records that a server has answered a request with the key, which shows that the request crashes no servers.
+// RecordSurvival records that a server has answered a request with the key with a success, which shows that the request crashes no servers.
 func (i *Isolator) RecordSurvival(k Key, a Answer, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
