Tell every VM of isolated requests, and forget them last

Cause: a full memory dropped what had changed longest ago, so that a request isolated a minute ago went before thousands of harmless ones that ran at crashes since. A message had the 128 newest reports, so that a VM that starts, or was cut off, never heard of older isolated requests while servers crash. A single crash was told for 5 s, whether or not a VM could be reached then. A VM that starts while the platform does not answer was told nothing.

Change: entries that restrict nothing are dropped first and isolated ones last, many at a time. A part of each message goes to older restrictions in turn. Single crashes are told since the last time that the receiver was told anything. A VM asks another VM that it has not asked before for everything.

Evidence: TestIsolatedRequestsOutlastCrashesOfOthers and the last lines of testdata/crashes.txt fail with each of the three changes taken out in turn.

--- a/internal/isolator/exchanger.go
+++ b/internal/isolator/exchanger.go
@@ -41,6 +41,8 @@
 	// failed counts the failed exchanges with each zone in sequence. After a failure the next exchange goes to another VM of the zone.
 	// Only the goroutine of Run uses it.
 	failed map[string]int
+	// toldAt contains the times of the last exchange with each zone. Only the goroutine of Run uses it.
+	toldAt map[string]time.Time
 }
 
 // NewExchanger returns an Exchanger. Run has to be called to start it.
@@ -48,6 +50,7 @@
 	return &Exchanger{
 		o:      o,
 		failed: map[string]int{},
+		toldAt: map[string]time.Time{},
 	}
 }
 
@@ -55,8 +58,8 @@
 func (x *Exchanger) Run(ctx context.Context) {
 	x.o.Timer.Every(ctx, exchangeInterval, func(now time.Time) {
 		x.o.Isolator.Expire(now)
-		if reports := x.o.Isolator.Reports(now); len(reports) > 0 && x.o.IsReader() {
-			x.exchange(ctx, reports)
+		if x.o.Isolator.Active() && x.o.IsReader() {
+			x.exchange(ctx, now)
 		}
 	})
 }
@@ -82,7 +85,8 @@
 	}
 }
 
-func (x *Exchanger) exchange(ctx context.Context, reports []messenger.CrashReport) {
+// exchange tells each other zone what it does not know yet, if there is anything.
+func (x *Exchanger) exchange(ctx context.Context, now time.Time) {
 	zones := map[string]*zoneExchange{}
 	var wg sync.WaitGroup
 	for _, vm := range x.o.Board.VMs.Read().VMs {
@@ -90,7 +94,8 @@
 			continue
 		}
 		readers := x.o.Readers(vm.Zone)
-		if len(readers) == 0 {
+		reports := x.o.Isolator.Reports(x.toldAt[vm.Zone], now)
+		if len(readers) == 0 || len(reports) == 0 {
 			continue
 		}
 		z := &zoneExchange{
@@ -107,6 +112,7 @@
 	for zone, z := range zones {
 		if z.err == nil {
 			x.failed[zone] = 0
+			x.toldAt[zone] = now
 			continue
 		}
 		x.failed[zone]++
@@ -124,7 +130,7 @@
 	defer messenger.RecoverCall(&err)
 	o := s.Exchanger.o
 	now := o.Timer.Now()
-	reply.Reports = o.Isolator.Reports(now)
+	reply.Reports = o.Isolator.Reports(now, now)
 	o.Isolator.Merge(req.Reports, now)
 	return nil
 }
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,15 +27,26 @@
 	// proofLifetime is how long it is remembered that a server has survived a request. It is longer than reportLifetime, so that a
 	// report of an older crash is recognized as outdated.
 	proofLifetime = time.Minute
+	// singleLifetime is how long crashes are remembered that do not isolate a request.
+	singleLifetime = 20 * time.Minute
 	// reportLifetime is how long a crash is reported to other VMs if it makes no request a suspect. It covers several exchanges.
 	reportLifetime = 5 * time.Second
 	// reportDelay is the time before a crash is reported. Most requests that ran at a crash are answered by another server within
 	// that time, which shows that they did not cause it.
 	reportDelay = 300 * time.Millisecond
-	// maxEntries limits the number of requests that are tracked.
-	maxEntries = 2048
-	// maxReported limits the number of crashes and proofs in a message.
-	maxReported = 128
+	// maxEntries limits the number of requests that are tracked. Entries are removed many at a time, down to keptEntries, because
+	// choosing them means to sort all.
+	maxEntries  = 2048
+	keptEntries = maxEntries * 15 / 16
+	// newsTime is how long a change of a restriction is reported before all others. It covers several exchanges.
+	newsTime = 3 * time.Second
+	// maxReported limits the number of crashes and proofs in a message. At least reservedReports of them are for restrictions that have
+	// not changed for newsTime. These take turns, each for turnTime, so that VMs that missed them hear of all.
+	maxReported     = 128
+	reservedReports = 48
+	turnTime        = time.Second
+	// maxMerged limits the number of reports that are taken from a message. It is the number that All returns at most.
+	maxMerged = maxEntries * isolationCrashes
 )
 
 // Key identifies requests with the same contents for the same service.
@@ -248,23 +260,42 @@
 	return e
 }
 
-// evict removes the entry that changed longest ago while there are too many. The caller must hold i.mu.
+// evict removes the entries beyond keptEntries if there are more than maxEntries: those that restrict nothing first, and isolated requests
+// last, each kind by the time of the last change. The caller must hold i.mu.
 func (i *Isolator) evict(now time.Time) {
-	for len(i.entries) > maxEntries {
-		var oldest Key
-		var at time.Time
-		for k, e := range i.entries {
-			if at.IsZero() || e.changedAt.Before(at) {
-				oldest, at = k, e.changedAt
-			}
-		}
-		if _, free := i.entries[oldest].admission(now).(Free); !free {
-			i.forgotten.Add(1)
-			i.log.Warn().Uint64("Key", uint64(oldest)).Msg("Requests that crashed backend servers are no longer restricted, because too many are tracked.")
+	defer func() {
+		i.tracked.Store(int64(len(i.entries)))
+	}()
+	if len(i.entries) <= maxEntries {
+		return
+	}
+	keys := slices.SortedFunc(maps.Keys(i.entries), func(a, b Key) int {
+		x, y := i.entries[a], i.entries[b]
+		return cmp.Or(cmp.Compare(x.rank(now), y.rank(now)), x.changedAt.Compare(y.changedAt))
+	})
+	var forgotten uint64
+	for _, k := range keys[:len(keys)-keptEntries] {
+		if _, free := i.entries[k].admission(now).(Free); !free {
+			forgotten++
 		}
-		delete(i.entries, oldest)
+		delete(i.entries, k)
+	}
+	if forgotten > 0 {
+		i.forgotten.Add(forgotten)
+		i.log.Warn().Uint64("Count", forgotten).Msg("Requests that crashed backend servers are no longer restricted, because too many are tracked.")
+	}
+}
+
+// rank orders entries by how much would be lost without them.
+func (e *entry) rank(now time.Time) int {
+	switch e.admission(now).(type) {
+	case Refused:
+		return 3
+	case Single:
+		return 2
+	default:
+		return min(1, len(e.crashes))
 	}
-	i.tracked.Store(int64(len(i.entries)))
 }
 
 // RecordSurvival records that a server has answered a request with the key with a success, which shows that the request crashes no servers.
@@ -306,7 +337,7 @@
 	for k, e := range i.entries {
 		lifetime := proofLifetime
 		if len(e.crashes) > 0 {
-			lifetime = 2 * isolationTime
+			lifetime = singleLifetime
 		}
 		if now.Sub(e.changedAt) > lifetime {
 			delete(i.entries, k)
@@ -315,41 +346,99 @@
 	i.tracked.Store(int64(len(i.entries)))
 }
 
-// Reports returns what other VMs should know: crashes that make requests suspects, recent crashes of requests that no server has
-// survived, and proofs about former suspects.
-func (i *Isolator) Reports(now time.Time) []messenger.CrashReport {
+// Reports returns what a VM should know that was told at the time lastTold for the last time: crashes that make requests suspects, proofs
+// about former suspects, and the crashes since then of requests that no server has survived.
+func (i *Isolator) Reports(lastTold, now time.Time) []messenger.CrashReport {
 	if !i.Active() {
 		return nil
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	var reports []messenger.CrashReport
+	since := now.Add(-reportLifetime)
+	if told := lastTold.Add(-reportLifetime); !lastTold.IsZero() && told.Before(since) {
+		since = told
+	}
+	var news, singles []messenger.CrashReport
+	others := map[Key][]messenger.CrashReport{}
 	for k, e := range i.entries {
-		_, free := e.admission(now).(Free)
-		for _, c := range e.crashes {
-			age := now.Sub(c.At)
-			if free && (age < reportDelay || age > reportLifetime) {
-				continue
-			}
-			reports = append(reports, messenger.CrashReport{
-				Key:    uint64(k),
-				Server: c.Server,
-				Began:  c.Began,
-				At:     c.At,
-			})
+		reports := e.reports(k, since, now)
+		switch _, free := e.admission(now).(Free); {
+		case free && len(e.crashes) > 0:
+			singles = append(singles, reports...)
+		case now.Sub(e.changedAt) < newsTime:
+			news = append(news, reports...)
+		default:
+			others[k] = reports
 		}
-		if e.wasSuspect && len(e.crashes) == 0 && now.Sub(e.provedAt) < proofLifetime/2 {
-			reports = append(reports, messenger.CrashReport{
-				Key:      uint64(k),
-				At:       e.provedAt,
-				Survived: true,
-			})
+	}
+	sortReports(news)
+	sortReports(singles)
+	old := inTurn(others, now)
+	reserved := min(len(old), reservedReports)
+	first := min(len(news), maxReported-reserved)
+	all := slices.Concat(news[:first], old[:reserved], news[first:], singles, old[reserved:])
+	return all[:min(len(all), maxReported)]
+}
+
+// inTurn returns the reports in an order that begins with those whose turn it is. A turn has reservedReports.
+func inTurn(byKey map[Key][]messenger.CrashReport, now time.Time) []messenger.CrashReport {
+	var all []messenger.CrashReport
+	for _, k := range slices.Sorted(maps.Keys(byKey)) {
+		all = append(all, byKey[k]...)
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	turn := now.UnixNano() / int64(turnTime)
+	first := int(turn * reservedReports % int64(len(all)))
+	return slices.Concat(all[first:], all[:first])
+}
+
+// All returns everything that a VM should know that knows nothing yet.
+func (i *Isolator) All(now time.Time) []messenger.CrashReport {
+	if !i.Active() {
+		return nil
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var all []messenger.CrashReport
+	for k, e := range i.entries {
+		all = append(all, e.reports(k, time.Time{}, now)...)
+	}
+	sortReports(all)
+	return all
+}
+
+// reports returns the reports about an entry. Crashes that restrict nothing are left out if they are older than since.
+func (e *entry) reports(k Key, since, now time.Time) []messenger.CrashReport {
+	var reports []messenger.CrashReport
+	_, free := e.admission(now).(Free)
+	for _, c := range e.crashes {
+		if free && (now.Sub(c.At) < reportDelay || c.At.Before(since)) {
+			continue
 		}
+		reports = append(reports, messenger.CrashReport{
+			Key:    uint64(k),
+			Server: c.Server,
+			Began:  c.Began,
+			At:     c.At,
+		})
+	}
+	if e.wasSuspect && len(e.crashes) == 0 && now.Sub(e.provedAt) < proofLifetime/2 {
+		reports = append(reports, messenger.CrashReport{
+			Key:      uint64(k),
+			At:       e.provedAt,
+			Survived: true,
+		})
 	}
+	return reports
+}
+
+// sortReports sorts the newest reports first.
+func sortReports(reports []messenger.CrashReport) {
 	slices.SortFunc(reports, func(a, b messenger.CrashReport) int {
 		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Key, b.Key))
 	})
-	return reports[:min(len(reports), maxReported)]
 }
 
 // maxClockDifference is the largest difference between the clocks of two VMs that a report may show. A report from a later time is
@@ -363,8 +452,8 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for _, r := range reports[:min(len(reports), maxReported)] {
-		if r.At.Sub(now) > maxClockDifference || now.Sub(r.At) > 2*isolationTime {
+	for _, r := range reports[:min(len(reports), maxMerged)] {
+		if r.At.Sub(now) > maxClockDifference || now.Sub(r.At) > singleLifetime {
 			continue
 		}
 		before := i.admit(Key(r.Key), now)
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -33,6 +33,7 @@
 	data, err := os.ReadFile("testdata/crashes.txt")
 	assert.NilError(t, err)
 	own, other := isolator.New(zerolog.Nop()), isolator.New(zerolog.Nop())
+	var lastTold time.Time
 	for _, line := range strings.Split(string(data), "\n") {
 		words := strings.Fields(line)
 		if len(words) == 0 || words[0] == "#" {
@@ -54,9 +55,10 @@
 		case "survive":
 			i.RecordSurvival(key(words[1]), isolator.Answer{}, now)
 		case "exchange":
-			reports := own.Reports(now)
-			own.Merge(other.Reports(now), now)
+			reports := own.Reports(lastTold, now)
+			own.Merge(other.Reports(lastTold, now), now)
 			other.Merge(reports, now)
+			lastTold = now
 		case "want":
 			assert.Equal(t, describe(i.Admit(key(words[1]), now)), words[2], line)
 		case "isolated":
@@ -89,8 +91,45 @@
 			At:     start.Add(time.Duration(n) * time.Microsecond),
 		}, start)
 	}
-	assert.Assert(t, len(i.Reports(start.Add(time.Second))) <= 128)
+	assert.Assert(t, len(i.Reports(time.Time{}, start.Add(time.Second))) <= 128)
 	assert.Assert(t, i.Active())
 	i.Expire(start.Add(time.Hour))
 	assert.Assert(t, !i.Active())
 }
+
+// Thousands of other requests run at crashes after requests have been isolated. Guards against a memory that is full of harmless requests and
+// forgets those that crash servers, and against reports that are too many for a message, so that other VMs never hear of the isolated ones
+// (issue 43).
+func TestIsolatedRequestsOutlastCrashesOfOthers(t *testing.T) {
+	const isolated = 200
+	own, other, started := isolator.New(zerolog.Nop()), isolator.New(zerolog.Nop()), isolator.New(zerolog.Nop())
+	crash := func(k isolator.Key, server int, at time.Time) {
+		own.RecordCrash(isolator.Crash{
+			Key:    k,
+			Server: uint64(server),
+			Began:  at.Add(-time.Millisecond),
+			At:     at,
+		}, at)
+	}
+	for n := range isolated {
+		for c := range 3 {
+			crash(isolator.Key(1000000+n), 3*n+c, start.Add(time.Duration(c)*time.Second))
+		}
+	}
+	now := start.Add(time.Minute)
+	for n := range 5000 {
+		crash(isolator.Key(n), 10000+n, now)
+	}
+	assert.Equal(t, own.Isolated(now), isolated)
+	started.Merge(own.All(now), now)
+	assert.Equal(t, started.Isolated(now), isolated)
+	// Within 30 s of exchanges twice a second the other VM hears of all of them, although other servers crash all the time.
+	for n := range 60 {
+		now = now.Add(500 * time.Millisecond)
+		for c := range 200 {
+			crash(isolator.Key(10000+200*n+c), 100000+200*n+c, now)
+		}
+		other.Merge(own.Reports(now.Add(-500*time.Millisecond), now), now)
+	}
+	assert.Equal(t, other.Isolated(now), isolated)
+}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -427,6 +427,8 @@
 	Load float64
 	// Crashes contains the sender's reports of requests that ran at the crash of a backend server.
 	Crashes []CrashReport
+	// AllCrashes is set if the sender wants all reports of the receiver, because another VM has replied to its last request or none.
+	AllCrashes bool
 }
 
 // FollowReply contains the changes of those kinds of objects that have changed.
--- a/internal/syncer/peers.go
+++ b/internal/syncer/peers.go
@@ -123,6 +123,8 @@
 		After: map[string]uint64{},
 		Eras:  map[string]uint64{},
 		Wait:  wait,
+		// A VM that starts while the platform does not answer learns of all crashes from any other VM.
+		AllCrashes: wait == 0 && !s.synced(),
 	}
 	for _, l := range s.o.Logs {
 		position, _ := l.Position()
@@ -133,13 +135,17 @@
 		now := s.o.Timer.Now()
 		req.Seen = s.o.Balancer.TakeObservations(now)
 		req.Load = s.o.Budgeter.FirstAttempts(now)
-		req.Crashes = s.o.Isolator.Reports(now)
+		req.Crashes = s.o.Isolator.Reports(s.toldAt, now)
+		req.AllCrashes = addr != s.toldBy
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+longPollGrace)
 	defer cancel()
 	var reply messenger.FollowReply
 	err := s.o.Client.Call(ctx, addr, messenger.MethodFollow, req, &reply)
 	now := s.o.Timer.Now()
+	if err == nil && wait > 0 {
+		s.toldAt, s.toldBy = now, addr
+	}
 	s.o.Balancer.ApplyZoneHealth(reply.Conditions, now)
 	s.o.Isolator.Merge(reply.Crashes, now)
 	if reply.Share > 0 {
@@ -200,13 +206,21 @@
 	s := f.Syncer
 	s.o.Balancer.AddObservations(req.Seen, s.o.Timer.Now())
 	s.o.Isolator.Merge(req.Crashes, s.o.Timer.Now())
+	lastContact := s.contact(req.From)
+	defer func() {
+		now := s.o.Timer.Now()
+		if req.AllCrashes {
+			reply.Crashes = s.o.Isolator.All(now)
+		} else {
+			reply.Crashes = s.o.Isolator.Reports(lastContact, now)
+		}
+	}()
 	if req.Wait > 0 {
 		s.recordContact(req.From)
 		s.addLoad(req.From, req.Load, s.o.Timer.Now())
 		defer func() {
 			now := s.o.Timer.Now()
 			reply.Age = s.age(now)
-			reply.Crashes = s.o.Isolator.Reports(now)
 			reply.Conditions = s.o.Balancer.ZoneHealth(now)
 			reply.Share = s.share(req.From, now)
 		}()
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -102,6 +102,11 @@
 	// platformDown is set when the source could not reach the platform at the last check.
 	platformDown bool
 
+	// toldAt is the time of the last request for updates whose reply has arrived, the zero time if there is none. toldBy is the address of the
+	// VM that replied. They are accessed only by the goroutine of Run.
+	toldAt time.Time
+	toldBy netip.AddrPort
+
 	// lastPingOK is the result of the last ping. It is accessed only by the goroutine of Run.
 	lastPingOK bool
 	// startupTimeout is the timeout of the next call to the platform until all kinds are synced. It is accessed only by the
--- a/internal/syncer/unresponsive.go
+++ b/internal/syncer/unresponsive.go
@@ -33,6 +33,13 @@
 	s.lastContact[name] = s.o.Timer.Now()
 }
 
+// contact returns the time of the last contact of a VM, the zero time if there is none.
+func (s *Syncer) contact(name string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastContact[name]
+}
+
 // UnresponsiveVMs returns the names of the VMs of the zone that have not contacted this VM within silenceTimeout and do not
 // answer a probe either. It returns none if this VM is not the reader, and none if this VM cannot reach any other VM, since it
 // is then probably cut off from the network itself.
