Keep at the platform what is known of requests that crash servers

Cause: what VMs know of such requests was held in their processes only. Class of fault: a decision about the outside that lasts no longer than the process that made it.

Change: the reader of each zone saves the crashes of requests that no server has survived at the platform, one object a zone, when it lacks one, at most once a second, and reads those of all zones when it becomes the reader, when the platform comes back from a copy, and while another zone cannot be reached. Other VMs hear of them from the reader as before.

What happens in the second before all VMs end is not remembered.

--- a/cmd/anvildyked/gateway.go
+++ b/cmd/anvildyked/gateway.go
@@ -40,6 +40,9 @@
 		Directory: platform.VMDirectory{
 			Store: store,
 		},
+		CrashArchive: platform.CrashArchive{
+			Store: store,
+		},
 		Outcomes: platform.RolloutStatusWriter{
 			Store: store,
 		},
--- a/internal/isolator/exchanger.go
+++ b/internal/isolator/exchanger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -17,6 +18,8 @@
 	// updates. A report reaches all VMs within three exchanges.
 	exchangeInterval = 500 * time.Millisecond
 	exchangeTimeout  = 700 * time.Millisecond
+	// cutOffFailures is the number of failed exchanges in sequence from which a zone counts as cut off. The first two go to different VMs.
+	cutOffFailures = 2
 )
 
 // ExchangerOptions are the dependencies of an Exchanger.
@@ -43,6 +46,8 @@
 	failed map[string]int
 	// toldAt contains the times of the last exchange with each zone. Only the goroutine of Run uses it.
 	toldAt map[string]time.Time
+	// cutOff is the result of IsCutOff.
+	cutOff atomic.Bool
 }
 
 // NewExchanger returns an Exchanger. Run has to be called to start it.
@@ -64,6 +69,11 @@
 	})
 }
 
+// IsCutOff reports whether the last exchanges with another zone have failed.
+func (x *Exchanger) IsCutOff() bool {
+	return x.cutOff.Load()
+}
+
 // zoneExchange is an exchange with a VM of another zone.
 type zoneExchange struct {
 	exchanger *Exchanger
@@ -109,6 +119,10 @@
 		})
 	}
 	wg.Wait()
+	cutOff := false
+	defer func() {
+		x.cutOff.Store(cutOff)
+	}()
 	for zone, z := range zones {
 		if z.err == nil {
 			x.failed[zone] = 0
@@ -116,6 +130,7 @@
 			continue
 		}
 		x.failed[zone]++
+		cutOff = cutOff || x.failed[zone] >= cutOffFailures
 		x.o.Log.Info().Str("VM", z.vm.Name).Err(z.err).Msg("A VM did not reply to an exchange of crash reports.")
 	}
 }
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -45,6 +45,8 @@
 	maxReported     = 128
 	reservedReports = 48
 	turnTime        = time.Second
+	// maxSaved limits the number of crashes that a zone saves at the platform, whose objects have at most 1 MB.
+	maxSaved = 4096
 	// maxMerged limits the number of reports that are taken from a message. It is the number that All returns at most.
 	maxMerged = maxEntries * isolationCrashes
 )
@@ -409,6 +411,36 @@
 	return all
 }
 
+// durable returns what has to outlive the processes: the crashes of requests that no server has survived.
+func (i *Isolator) durable(now time.Time) []messenger.CrashReport {
+	if !i.Active() {
+		return nil
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var reports []messenger.CrashReport
+	for k, e := range i.entries {
+		if _, free := e.admission(now).(Free); free && now.Sub(e.lastCrash()) < durableDelay {
+			continue
+		}
+		for _, c := range e.crashes {
+			reports = append(reports, c.report(k))
+		}
+	}
+	sortReports(reports)
+	return reports[:min(len(reports), maxSaved)]
+}
+
+// report returns the report of a crash of requests with the key.
+func (c Crash) report(k Key) messenger.CrashReport {
+	return messenger.CrashReport{
+		Key:    uint64(k),
+		Server: c.Server,
+		Began:  c.Began,
+		At:     c.At,
+	}
+}
+
 // reports returns the reports about an entry. Crashes that restrict nothing are left out if they are older than since.
 func (e *entry) reports(k Key, since, now time.Time) []messenger.CrashReport {
 	var reports []messenger.CrashReport
@@ -417,12 +449,7 @@
 		if free && (now.Sub(c.At) < reportDelay || c.At.Before(since)) {
 			continue
 		}
-		reports = append(reports, messenger.CrashReport{
-			Key:    uint64(k),
-			Server: c.Server,
-			Began:  c.Began,
-			At:     c.At,
-		})
+		reports = append(reports, c.report(k))
 	}
 	if e.wasSuspect && len(e.crashes) == 0 && now.Sub(e.provedAt) < proofLifetime/2 {
 		reports = append(reports, messenger.CrashReport{
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -94,6 +94,7 @@
 	DecodeMove   func(item storeclient.Item) (blackboard.MoveOrder, error)
 	DecodeServer func(name string, value []byte) (discoverer.Server, error)
 	Directory    enroller.Directory
+	CrashArchive isolator.Archive
 	Outcomes     promoter.OutcomeStore
 	Settings     SettingsFile
 	Codec        GatewayCodec
@@ -128,6 +129,7 @@
 	crashChecker  *isolator.Checker
 	// crashExchanger exchanges the reports of the isolator with other zones.
 	crashExchanger *isolator.Exchanger
+	crashKeeper    *isolator.Keeper
 	serverSink     *syncer.ServerSink
 	retainers      []*syncer.Retainer
 	acceptor       *acceptor.Acceptor
@@ -349,6 +351,19 @@
 		Timer:  g.timer,
 		Log:    g.logger.Part("isolator"),
 	})
+	g.crashKeeper = isolator.NewKeeper(isolator.KeeperOptions{
+		Zone:     g.cfg.Zone,
+		Isolator: g.isolator,
+		Archive:  g.platform.CrashArchive,
+		IsReader: g.isReader,
+		PlatformAnswers: func() bool {
+			_, answers, _ := g.syncer.Source()
+			return answers
+		},
+		IsCutOff: g.crashExchanger.IsCutOff,
+		Timer:    g.timer,
+		Log:      g.logger.Part("isolator"),
+	})
 	g.enroller = enroller.New(enroller.Options{
 		OwnEntry: blackboard.VM{
 			Name:    g.cfg.Name,
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -24,6 +24,7 @@
 		g.enroller.Run,
 		g.promoter.Run,
 		g.crashExchanger.Run,
+		g.crashKeeper.Run,
 		g.runHousekeeping,
 		g.runConnectionProbes,
 		g.acceptor.Run,
