Judge reports of crashes by their age where clocks differ

Cause: reports state times by the clock of the VM that saw the crash. A report from more than 1 s ahead was dropped, so that VMs with another time of day did not add up their crashes; one from behind looked older than a proof and was dropped; a proof of a VM whose clock is ahead discarded crashes that came after it. A step of a VM's own clock reordered what it had merged.

Change: a report states its age as well. If its times do not fit that, the receiver uses the age. Merged times have the receiver's monotonic clock.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -424,7 +424,7 @@
 			continue
 		}
 		for _, c := range e.crashes {
-			reports = append(reports, c.report(k))
+			reports = append(reports, c.report(k, now))
 		}
 	}
 	sortReports(reports)
@@ -432,12 +432,13 @@
 }
 
 // report returns the report of a crash of requests with the key.
-func (c Crash) report(k Key) messenger.CrashReport {
+func (c Crash) report(k Key, now time.Time) messenger.CrashReport {
 	return messenger.CrashReport{
 		Key:    uint64(k),
 		Server: c.Server,
 		Began:  c.Began,
 		At:     c.At,
+		Age:    now.Sub(c.At),
 	}
 }
 
@@ -449,12 +450,13 @@
 		if free && (now.Sub(c.At) < reportDelay || c.At.Before(since)) {
 			continue
 		}
-		reports = append(reports, c.report(k))
+		reports = append(reports, c.report(k, now))
 	}
 	if e.wasSuspect && len(e.crashes) == 0 && now.Sub(e.provedAt) < proofLifetime/2 {
 		reports = append(reports, messenger.CrashReport{
 			Key:      uint64(k),
 			At:       e.provedAt,
+			Age:      now.Sub(e.provedAt),
 			Survived: true,
 		})
 	}
@@ -468,10 +470,20 @@
 	})
 }
 
-// maxClockDifference is the largest difference between the clocks of two VMs that a report may show. A report from a later time is
-// ignored.
+// maxClockDifference is the largest difference between the clocks of two VMs at which the times of a report are used. Otherwise its age is
+// used, which is too low by the time that the message took.
 const maxClockDifference = time.Second
 
+// localTime returns the time At of a report by the clock of this VM. Like now, it is not affected by steps of this clock.
+func localTime(r messenger.CrashReport, now time.Time) time.Time {
+	at := now.Add(r.At.Sub(now))
+	byAge := now.Add(-max(0, r.Age))
+	if difference := at.Sub(byAge); r.Age > 0 && difference.Abs() > maxClockDifference || r.Age == 0 && difference > maxClockDifference {
+		return byAge
+	}
+	return at
+}
+
 // Merge adds the reports of another VM.
 func (i *Isolator) Merge(reports []messenger.CrashReport, now time.Time) {
 	if len(reports) == 0 {
@@ -480,7 +492,10 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, r := range reports[:min(len(reports), maxMerged)] {
-		if r.At.Sub(now) > maxClockDifference || now.Sub(r.At) > singleLifetime {
+		lasted := max(0, r.At.Sub(r.Began))
+		r.At = localTime(r, now)
+		r.Began = r.At.Add(-lasted)
+		if now.Sub(r.At) > singleLifetime {
 			continue
 		}
 		before := i.admit(Key(r.Key), now)
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -34,31 +34,39 @@
 	assert.NilError(t, err)
 	own, other := isolator.New(zerolog.Nop()), isolator.New(zerolog.Nop())
 	var lastTold time.Time
+	// ahead is how much the clock of the other VM is ahead.
+	var ahead time.Duration
 	for _, line := range strings.Split(string(data), "\n") {
 		words := strings.Fields(line)
 		if len(words) == 0 || words[0] == "#" {
 			continue
 		}
 		now := parseTime(t, words[0])
-		i, words := own, words[1:]
+		otherNow := now.Add(ahead)
+		i, clock, words := own, time.Duration(0), words[1:]
 		if words[0] == "other" {
-			i, words = other, words[1:]
+			i, clock, words = other, ahead, words[1:]
 		}
+		now = now.Add(clock)
 		switch words[0] {
 		case "crash":
 			i.RecordCrash(isolator.Crash{
 				Key:    key(words[1]),
 				Server: xxhash.Sum64String(words[2]),
-				Began:  parseTime(t, words[3]),
+				Began:  parseTime(t, words[3]).Add(clock),
 				At:     now,
 			}, now)
 		case "survive":
 			i.RecordSurvival(key(words[1]), isolator.Answer{}, now)
 		case "exchange":
 			reports := own.Reports(lastTold, now)
-			own.Merge(other.Reports(lastTold, now), now)
-			other.Merge(reports, now)
+			own.Merge(other.Reports(lastTold.Add(ahead), otherNow), now)
+			other.Merge(reports, otherNow)
 			lastTold = now
+		case "clock":
+			ms, err := strconv.Atoi(words[1])
+			assert.NilError(t, err)
+			ahead = time.Duration(ms) * time.Millisecond
 		case "want":
 			assert.Equal(t, describe(i.Admit(key(words[1]), now)), words[2], line)
 		case "isolated":
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -475,9 +475,12 @@
 	Survived bool
 	// Server is the hash of the key of the process that crashed.
 	Server uint64
-	// Began is the time at which the request was sent to the server, At the time at which the connection broke.
+	// Began is the time at which the request was sent to the server, At the time at which the connection broke, both by the clock of the
+	// VM that saw it.
 	Began time.Time
 	At    time.Time
+	// Age is the time since At when the report was sent. It does not depend on any clock. A VM of an earlier release states none.
+	Age time.Duration `json:"-"`
 }
 
 // CrashesRequest contains the sender's reports and asks for those of another VM.
