Count crashes of a request at all services that it is sent to

Cause: the key of a request contained the service, so that its crashes at one service meant nothing at another one.

Change: crashes are kept for the service and for the request at any service. The latter decides for a service none of whose servers has survived the request, so that a shard that answers goes on to get requests that crash another shard.

--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -226,9 +226,9 @@
 	return out
 }
 
-// key identifies the request for the service of a shard in the isolator.
-func (j *job) key(s *shard) isolator.Key {
-	return isolator.NewKey(s.service.Name, j.fingerprint.of(j.request.Header, j.request.Body))
+// subject identifies the request for the service of a shard in the isolator.
+func (j *job) subject(s *shard) isolator.Subject {
+	return isolator.NewSubject(s.service.Name, j.fingerprint.of(j.request.Header, j.request.Body))
 }
 
 // admission returns how many servers the request may be sent to for a shard.
@@ -236,7 +236,7 @@
 	if !j.d.o.Isolator.Active() {
 		return isolator.Free{}
 	}
-	return j.d.o.Isolator.Admit(j.key(s), now)
+	return j.d.o.Isolator.Admit(j.subject(s), now)
 }
 
 // failFast marks the shards without a server that may get requests as failed. It returns a Failure if too few shards remain, and
@@ -402,7 +402,7 @@
 	switch {
 	case err == nil && reply.Succeeded():
 		if j.d.o.Isolator.Active() {
-			j.d.o.Isolator.RecordSurvival(j.key(s), isolator.Answer{
+			j.d.o.Isolator.RecordSurvival(j.subject(s), isolator.Answer{
 				Request: j.request.ID,
 				Server:  a.endpoint.ID,
 				Status:  reply.Status,
@@ -410,7 +410,7 @@
 		}
 	case classifier.CodeOf(err) == classifier.ConnectionReset:
 		j.d.o.Checker.ConnectionBroke(a.endpoint.Server, isolator.Crash{
-			Key:     j.key(s),
+			Subject: j.subject(s),
 			Request: j.request.ID,
 			Began:   startedAt,
 			At:      now,
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -34,9 +34,9 @@
 	// reportDelay is the time before a crash is reported. Most requests that ran at a crash are answered by another server within
 	// that time, which shows that they did not cause it.
 	reportDelay = 300 * time.Millisecond
-	// maxEntries limits the number of requests that are tracked. Entries are removed many at a time, down to keptEntries, because
+	// maxEntries limits the number of entries, one for each tracked request and service and one for each request. Entries are removed many at a time, down to keptEntries, because
 	// choosing them means to sort all.
-	maxEntries  = 2048
+	maxEntries  = 4096
 	keptEntries = maxEntries * 15 / 16
 	// newsTime is how long a change of a restriction is reported before all others. It covers several exchanges.
 	newsTime = 3 * time.Second
@@ -51,12 +51,23 @@
 	maxMerged = maxEntries * isolationCrashes
 )
 
-// Key identifies requests with the same contents for the same service.
+// Key identifies requests with the same contents for the same service, or for any.
 type Key uint64
 
-// NewKey returns the key of requests with a fingerprint for a service.
-func NewKey(service string, fingerprint uint64) Key {
-	return Key(xxhash.Sum64String(service) ^ fingerprint)
+// Subject identifies requests with the same contents. What they do at one service counts at another one as well, to which a change of the
+// configuration may send them, until a server of that service has survived them.
+type Subject struct {
+	// Key identifies them for a service, Contents for all services. Contents is 0 if it is not known.
+	Key      Key
+	Contents Key
+}
+
+// NewSubject returns the subject of requests with a fingerprint for a service.
+func NewSubject(service string, fingerprint uint64) Subject {
+	return Subject{
+		Key:      Key(xxhash.Sum64String(service) ^ fingerprint),
+		Contents: Key(xxhash.Sum64String("") ^ fingerprint),
+	}
 }
 
 // Admission states how many servers a request may be sent to. It is sealed: Free, Single or Refused.
@@ -79,7 +90,7 @@
 
 // Crash is the crash of a server that ran a request.
 type Crash struct {
-	Key Key
+	Subject
 	// Request is the ID of the request, "" if another VM has sent it. It is only logged.
 	Request string
 	// Server is the hash of the key of the server's process.
@@ -110,6 +121,10 @@
 	provedAt time.Time
 	// changedAt is the time of the last change of the entry.
 	changedAt time.Time
+	// contents is the key of the entry of the same requests for any service, 0 if this is that entry or if it is not known.
+	contents Key
+	// anyService is set if this is the entry for any service. Other VMs are told of the others only, from which it follows.
+	anyService bool
 	// wasSuspect is set once the requests have been restricted, so that a proof is told to other VMs.
 	wasSuspect bool
 }
@@ -168,20 +183,25 @@
 	return i.tracked.Load() > 0
 }
 
-// Admit returns how many servers a request with the key may be sent to.
-func (i *Isolator) Admit(k Key, now time.Time) Admission {
+// Admit returns how many servers requests of the subject may be sent to.
+func (i *Isolator) Admit(s Subject, now time.Time) Admission {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.admit(k, now)
+	return i.admit(s, now)
 }
 
 // admit is Admit. The caller must hold i.mu.
-func (i *Isolator) admit(k Key, now time.Time) Admission {
-	e, ok := i.entries[k]
-	if !ok {
-		return Free{}
+func (i *Isolator) admit(s Subject, now time.Time) Admission {
+	if e, ok := i.entries[s.Key]; ok {
+		a := e.admission(now)
+		if _, free := a.(Free); !free || !e.provedAt.IsZero() {
+			return a
+		}
 	}
-	return e.admission(now)
+	if e, ok := i.entries[s.Contents]; ok {
+		return e.admission(now)
+	}
+	return Free{}
 }
 
 func (e *entry) admission(now time.Time) Admission {
@@ -229,6 +249,7 @@
 // add records a crash and reports whether it is now part of the sequence of its requests. The caller must hold i.mu.
 func (i *Isolator) add(c Crash, now time.Time) bool {
 	e := i.entry(c.Key)
+	e.contents = c.Contents
 	if !c.At.After(e.provedAt) || slices.ContainsFunc(e.crashes, c.sameServer) {
 		return false
 	}
@@ -237,6 +258,9 @@
 		return false
 	}
 	e.changedAt = now
+	if c.Contents != 0 {
+		i.addForAnyService(c, now)
+	}
 	switch after := e.admission(now).(type) {
 	case Free:
 	case Single:
@@ -251,6 +275,15 @@
 	return true
 }
 
+// addForAnyService adds a crash to the entry for any service. The caller must hold i.mu.
+func (i *Isolator) addForAnyService(c Crash, now time.Time) {
+	e := i.entry(c.Contents)
+	e.anyService = true
+	if !slices.ContainsFunc(e.crashes, c.sameServer) && e.insert(c) {
+		e.changedAt = now
+	}
+}
+
 // entry returns the entry of a key, which it creates if necessary. The caller must hold i.mu.
 func (i *Isolator) entry(k Key) *entry {
 	e, ok := i.entries[k]
@@ -300,24 +333,41 @@
 	}
 }
 
-// RecordSurvival records that a server has answered a request with the key with a success, which shows that the request crashes no servers.
-func (i *Isolator) RecordSurvival(k Key, a Answer, now time.Time) {
+// RecordSurvival records that a server has answered a request of the subject with a success, which shows that such requests crash no servers
+// of the service.
+func (i *Isolator) RecordSurvival(s Subject, a Answer, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	e, ok := i.entries[k]
-	if !ok {
+	before := i.admit(s, now)
+	n := i.inSequence(s.Key)
+	i.prove(s, now, now)
+	if _, free := before.(Free); !free {
+		i.lifted.Add(1)
+	} else if n == 0 {
 		return
 	}
-	_, free := e.admission(now).(Free)
-	n := len(e.crashes)
-	e.prove(now, now)
-	if n == 0 {
-		return
+	i.log.Info().Str("Request", a.Request).Uint64("Key", uint64(s.Key)).Str("Server", a.Server).Int("Status", a.Status).Int("Crashes", n).Type("Before", before).Msg("An answer shows that requests did not cause the crashes they ran at.")
+}
+
+// prove records that a server has survived a request of the subject at a time, unless nothing is known of such requests. The caller must
+// hold i.mu.
+func (i *Isolator) prove(s Subject, at, now time.Time) {
+	all, ok := i.entries[s.Contents]
+	restricted := false
+	if ok {
+		_, free := all.admission(now).(Free)
+		restricted = !free
+		all.crashes = slices.DeleteFunc(all.crashes, func(c Crash) bool {
+			return c.Key == s.Key && !c.At.After(at)
+		})
 	}
-	if !free {
-		i.lifted.Add(1)
+	if _, known := i.entries[s.Key]; !known && !restricted {
+		return
 	}
-	i.log.Info().Str("Request", a.Request).Uint64("Key", uint64(k)).Str("Server", a.Server).Int("Status", a.Status).Int("Crashes", n).Bool("Restricted", !free).Msg("An answer shows that requests did not cause the crashes they ran at.")
+	e := i.entry(s.Key)
+	e.contents = s.Contents
+	e.wasSuspect = e.wasSuspect || restricted
+	e.prove(at, now)
 }
 
 // prove discards the crashes up to the time at.
@@ -338,7 +388,8 @@
 	defer i.mu.Unlock()
 	for k, e := range i.entries {
 		lifetime := proofLifetime
-		if len(e.crashes) > 0 {
+		// A proof is needed as long as there are crashes at other services.
+		if all, ok := i.entries[e.contents]; len(e.crashes) > 0 || ok && len(all.crashes) > 0 {
 			lifetime = singleLifetime
 		}
 		if now.Sub(e.changedAt) > lifetime {
@@ -363,6 +414,9 @@
 	var news, singles []messenger.CrashReport
 	others := map[Key][]messenger.CrashReport{}
 	for k, e := range i.entries {
+		if e.anyService {
+			continue
+		}
 		reports := e.reports(k, since, now)
 		switch _, free := e.admission(now).(Free); {
 		case free && len(e.crashes) > 0:
@@ -405,6 +459,9 @@
 	defer i.mu.Unlock()
 	var all []messenger.CrashReport
 	for k, e := range i.entries {
+		if e.anyService {
+			continue
+		}
 		all = append(all, e.reports(k, time.Time{}, now)...)
 	}
 	sortReports(all)
@@ -420,7 +477,7 @@
 	defer i.mu.Unlock()
 	var reports []messenger.CrashReport
 	for k, e := range i.entries {
-		if _, free := e.admission(now).(Free); free && now.Sub(e.lastCrash()) < durableDelay {
+		if _, free := e.admission(now).(Free); e.anyService || free && now.Sub(e.lastCrash()) < durableDelay {
 			continue
 		}
 		for _, c := range e.crashes {
@@ -434,11 +491,12 @@
 // report returns the report of a crash of requests with the key.
 func (c Crash) report(k Key, now time.Time) messenger.CrashReport {
 	return messenger.CrashReport{
-		Key:    uint64(k),
-		Server: c.Server,
-		Began:  c.Began,
-		At:     c.At,
-		Age:    now.Sub(c.At),
+		Key:      uint64(k),
+		Contents: uint64(c.Contents),
+		Server:   c.Server,
+		Began:    c.Began,
+		At:       c.At,
+		Age:      now.Sub(c.At),
 	}
 }
 
@@ -455,6 +513,7 @@
 	if e.wasSuspect && len(e.crashes) == 0 && now.Sub(e.provedAt) < proofLifetime/2 {
 		reports = append(reports, messenger.CrashReport{
 			Key:      uint64(k),
+			Contents: uint64(e.contents),
 			At:       e.provedAt,
 			Age:      now.Sub(e.provedAt),
 			Survived: true,
@@ -498,35 +557,31 @@
 		if now.Sub(r.At) > singleLifetime {
 			continue
 		}
-		before := i.admit(Key(r.Key), now)
 		i.merge(r, now)
-		i.logChange(Key(r.Key), before, now)
 	}
 }
 
 // merge adds the report of another VM. The caller must hold i.mu.
 func (i *Isolator) merge(r messenger.CrashReport, now time.Time) {
+	s := Subject{
+		Key:      Key(r.Key),
+		Contents: Key(r.Contents),
+	}
+	before := i.admit(s, now)
 	if r.Survived {
-		if e, ok := i.entries[Key(r.Key)]; ok {
-			e.prove(r.At, now)
-		}
-		return
+		i.prove(s, r.At, now)
+	} else {
+		i.add(Crash{
+			Subject: s,
+			Server:  r.Server,
+			Began:   r.Began,
+			At:      r.At,
+		}, now)
 	}
-	i.add(Crash{
-		Key:    Key(r.Key),
-		Server: r.Server,
-		Began:  r.Began,
-		At:     r.At,
-	}, now)
-}
-
-// logChange logs that reports of other VMs have changed the admission of requests. The caller must hold i.mu.
-func (i *Isolator) logChange(k Key, before Admission, now time.Time) {
-	after := i.admit(k, now)
-	if fmt.Sprintf("%T", before) == fmt.Sprintf("%T", after) {
-		return
+	after := i.admit(s, now)
+	if fmt.Sprintf("%T", before) != fmt.Sprintf("%T", after) {
+		i.log.Info().Uint64("Key", r.Key).Type("Before", before).Type("After", after).Msg("Reports of other VMs changed how many backend servers requests may be sent to.")
 	}
-	i.log.Info().Uint64("Key", uint64(k)).Type("Before", before).Type("After", after).Msg("Reports of other VMs changed how many backend servers requests may be sent to.")
 }
 
 // Isolated returns the number of keys whose requests are refused.
@@ -535,7 +590,7 @@
 	defer i.mu.Unlock()
 	n := 0
 	for _, e := range i.entries {
-		if _, ok := e.admission(now).(Refused); ok {
+		if _, ok := e.admission(now).(Refused); ok && !e.anyService {
 			n++
 		}
 	}
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -1,6 +1,7 @@
 package isolator_test
 
 import (
+	"cmp"
 	"os"
 	"strconv"
 	"strings"
@@ -23,8 +24,10 @@
 	return start.Add(time.Duration(ms) * time.Millisecond)
 }
 
-func key(name string) isolator.Key {
-	return isolator.NewKey("service", xxhash.Sum64String(name))
+// subject returns the subject of the requests a at the service 1, or that of the requests a at the service 2 for "a@2".
+func subject(name string) isolator.Subject {
+	name, service, _ := strings.Cut(name, "@")
+	return isolator.NewSubject(cmp.Or(service, "1"), xxhash.Sum64String(name))
 }
 
 // Guards against requests that crash server after server (review case 5), and against the isolation of requests that only ran beside
@@ -51,13 +54,13 @@
 		switch words[0] {
 		case "crash":
 			i.RecordCrash(isolator.Crash{
-				Key:    key(words[1]),
-				Server: xxhash.Sum64String(words[2]),
-				Began:  parseTime(t, words[3]).Add(clock),
-				At:     now,
+				Subject: subject(words[1]),
+				Server:  xxhash.Sum64String(words[2]),
+				Began:   parseTime(t, words[3]).Add(clock),
+				At:      now,
 			}, now)
 		case "survive":
-			i.RecordSurvival(key(words[1]), isolator.Answer{}, now)
+			i.RecordSurvival(subject(words[1]), isolator.Answer{}, now)
 		case "exchange":
 			reports := own.Reports(lastTold, now)
 			own.Merge(other.Reports(lastTold.Add(ahead), otherNow), now)
@@ -68,7 +71,7 @@
 			assert.NilError(t, err)
 			ahead = time.Duration(ms) * time.Millisecond
 		case "want":
-			assert.Equal(t, describe(i.Admit(key(words[1]), now)), words[2], line)
+			assert.Equal(t, describe(i.Admit(subject(words[1]), now)), words[2], line)
 		case "isolated":
 			assert.Equal(t, strconv.Itoa(i.Isolated(now)), words[1], line)
 		default:
@@ -93,10 +96,10 @@
 	i := isolator.New(zerolog.Nop())
 	for n := range 10000 {
 		i.RecordCrash(isolator.Crash{
-			Key:    isolator.Key(n),
-			Server: uint64(n),
-			Began:  start,
-			At:     start.Add(time.Duration(n) * time.Microsecond),
+			Subject: isolator.NewSubject("", uint64(n)),
+			Server:  uint64(n),
+			Began:   start,
+			At:      start.Add(time.Duration(n) * time.Microsecond),
 		}, start)
 	}
 	assert.Assert(t, len(i.Reports(time.Time{}, start.Add(time.Second))) <= 128)
@@ -111,22 +114,22 @@
 func TestIsolatedRequestsOutlastCrashesOfOthers(t *testing.T) {
 	const isolated = 200
 	own, other, started := isolator.New(zerolog.Nop()), isolator.New(zerolog.Nop()), isolator.New(zerolog.Nop())
-	crash := func(k isolator.Key, server int, at time.Time) {
+	crash := func(request, server int, at time.Time) {
 		own.RecordCrash(isolator.Crash{
-			Key:    k,
-			Server: uint64(server),
-			Began:  at.Add(-time.Millisecond),
-			At:     at,
+			Subject: isolator.NewSubject("1", uint64(request)),
+			Server:  uint64(server),
+			Began:   at.Add(-time.Millisecond),
+			At:      at,
 		}, at)
 	}
 	for n := range isolated {
 		for c := range 3 {
-			crash(isolator.Key(1000000+n), 3*n+c, start.Add(time.Duration(c)*time.Second))
+			crash(1000000+n, 3*n+c, start.Add(time.Duration(c)*time.Second))
 		}
 	}
 	now := start.Add(time.Minute)
 	for n := range 5000 {
-		crash(isolator.Key(n), 10000+n, now)
+		crash(n, 10000+n, now)
 	}
 	assert.Equal(t, own.Isolated(now), isolated)
 	started.Merge(own.All(now), now)
@@ -135,7 +138,7 @@
 	for n := range 60 {
 		now = now.Add(500 * time.Millisecond)
 		for c := range 200 {
-			crash(isolator.Key(10000+200*n+c), 100000+200*n+c, now)
+			crash(10000+200*n+c, 100000+200*n+c, now)
 		}
 		other.Merge(own.Reports(now.Add(-500*time.Millisecond), now), now)
 	}
--- a/internal/isolator/keeper_test.go
+++ b/internal/isolator/keeper_test.go
@@ -82,21 +82,21 @@
 	ms, err := strconv.Atoi(words[0])
 	assert.NilError(s.t, err, line)
 	now := time.Unix(100000, 0).Add(time.Duration(ms) * time.Millisecond)
-	key := func() Key {
-		return NewKey("service", xxhash.Sum64String(words[2]))
+	subject := func() Subject {
+		return NewSubject("service", xxhash.Sum64String(words[2]))
 	}
 	switch words[1] {
 	case "keep":
 		s.keeper.run(context.Background(), now)
 	case "crash":
 		s.isolator.RecordCrash(Crash{
-			Key:    key(),
-			Server: xxhash.Sum64String(words[3]),
-			Began:  now.Add(-time.Millisecond),
-			At:     now,
+			Subject: subject(),
+			Server:  xxhash.Sum64String(words[3]),
+			Began:   now.Add(-time.Millisecond),
+			At:      now,
 		}, now)
 	case "survive":
-		s.isolator.RecordSurvival(key(), Answer{}, now)
+		s.isolator.RecordSurvival(subject(), Answer{}, now)
 	case "restart":
 		s.restart()
 	case "era":
@@ -107,26 +107,27 @@
 	case "cut":
 		s.cut = words[2] == "on"
 	case "remote":
-		s.saveRemote(key(), now)
+		s.saveRemote(subject(), now)
 	case "calls":
 		assert.Equal(s.t, fmt.Sprint(s.archive.loads, s.archive.saves), words[2]+" "+words[3], line)
 	case "want":
-		assert.Equal(s.t, strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", s.isolator.Admit(key(), now)), "isolator.")), words[3], line)
+		assert.Equal(s.t, strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", s.isolator.Admit(subject(), now)), "isolator.")), words[3], line)
 	default:
 		s.t.Fatalf("unknown step: %s", line)
 	}
 }
 
 // saveRemote saves three crashes as another zone does.
-func (s *keeperScript) saveRemote(k Key, now time.Time) {
+func (s *keeperScript) saveRemote(k Subject, now time.Time) {
 	var archived archivedReports
 	for n := range 3 {
 		at := now.Add(time.Duration(n-3) * time.Second)
 		archived.Reports = append(archived.Reports, messenger.CrashReport{
-			Key:    uint64(k),
-			Server: uint64(n),
-			Began:  at.Add(-time.Millisecond),
-			At:     at,
+			Key:      uint64(k.Key),
+			Contents: uint64(k.Contents),
+			Server:   uint64(n),
+			Began:    at.Add(-time.Millisecond),
+			At:       at,
 		})
 	}
 	data, err := json.Marshal(archived)
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -469,8 +469,9 @@
 
 // CrashReport states that a backend server crashed while it ran a request, or that a server survived the request.
 type CrashReport struct {
-	// Key identifies equal requests for the same service.
-	Key uint64
+	// Key identifies equal requests for the same service, Contents for any service. A VM of an earlier release states no Contents.
+	Key      uint64
+	Contents uint64
 	// Survived is set if a server has answered the request at the time At. Server and Began are not set then.
 	Survived bool
 	// Server is the hash of the key of the process that crashed.
