Let one VM at a time try a request again after its isolation

Cause: ten minutes after its last crash, every VM sent an isolated request to a server again, all at the same time if it arrived at many, and each VM as many as arrived before the first crash was seen. Ten minutes later still it was forgotten, whether or not it kept coming. Class of fault: many that act at once on a term that ends for all.

Change: after the isolation the VMs take turns of 5 s in the order of their list, each with one request. Each further crash isolates for twice the time since the one before, at most 6 h. Isolated requests are remembered for 24 h after the last crash.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -227,7 +227,7 @@
 	board := &blackboard.Gateway{}
 	board.Servers.Write(view)
 	f.board = board
-	crashed := isolator.New(zerolog.Nop())
+	crashed := isolator.New(nil, zerolog.Nop())
 	f.dispatcher = dispatcher.New(dispatcher.Options{
 		Board: board,
 		Balancer: balancer.New(balancer.Config{
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -231,7 +231,7 @@
 	return isolator.NewSubject(s.service.Name, j.fingerprint.of(j.request.Header, j.request.Body))
 }
 
-// admission returns how many servers the request may be sent to for a shard.
+// admission returns how many servers the request may be sent to for a shard. It has to be called once for each shard.
 func (j *job) admission(s *shard, now time.Time) isolator.Admission {
 	if !j.d.o.Isolator.Active() {
 		return isolator.Free{}
@@ -557,8 +557,7 @@
 
 // mayRepeat reports whether the request may be sent to another server of the shard as far as crashes of servers are concerned.
 func (j *job) mayRepeat(s *shard, now time.Time) bool {
-	_, free := j.admission(s, now).(isolator.Free)
-	return free
+	return !j.d.o.Isolator.Active() || j.d.o.Isolator.MayRepeat(j.subject(s), now)
 }
 
 // maxServersTried limits the servers per shard that a request is sent to. Unlike Route.MaxAttempts, it counts the servers that
@@ -575,8 +574,8 @@
 			continue
 		}
 		if len(s.tried) == 0 {
-			switch _, refused := j.admission(s, now).(isolator.Refused); {
-			case refused:
+			switch {
+			case j.d.o.Isolator.Active() && j.d.o.Isolator.IsIsolated(j.subject(s), now):
 				s.failed = true
 				s.lastCode = classifier.Isolated
 				j.failed++
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -22,13 +22,19 @@
 	suspectCrashes = 2
 	// isolationCrashes is the number of crashes in sequence after which a request is sent to no servers.
 	isolationCrashes = 3
-	// isolationTime is how long a request is isolated after its last crash. Then it gets a single attempt.
-	isolationTime = 10 * time.Minute
+	// A request is isolated for isolationTime after its last crash, or for twice the time between the last two crashes if that is
+	// longer, up to maxIsolationTime. Then one VM at a time may send it to one server, each for attemptTurn.
+	isolationTime    = 10 * time.Minute
+	maxIsolationTime = 6 * time.Hour
+	attemptTurn      = 5 * time.Second
+	// turnMargin is the part of a turn, at its begin and its end, that is not used, because clocks differ and crashes spread.
+	turnMargin = time.Second
 	// proofLifetime is how long it is remembered that a server has survived a request. It is longer than reportLifetime, so that a
 	// report of an older crash is recognized as outdated.
 	proofLifetime = time.Minute
-	// singleLifetime is how long crashes are remembered that do not isolate a request.
-	singleLifetime = 20 * time.Minute
+	// singleLifetime is how long crashes are remembered that do not isolate a request, and isolatedLifetime those that do.
+	singleLifetime   = 20 * time.Minute
+	isolatedLifetime = 24 * time.Hour
 	// reportLifetime is how long a crash is reported to other VMs if it makes no request a suspect. It covers several exchanges.
 	reportLifetime = 5 * time.Second
 	// reportDelay is the time before a crash is reported. Most requests that ran at a crash are answered by another server within
@@ -70,7 +76,8 @@
 	}
 }
 
-// Admission states how many servers a request may be sent to. It is sealed: Free, Single or Refused.
+// Admission states how many servers a request may be sent to. It is sealed: Free, Single or Refused, and afterIsolation, which Admit turns
+// into one of the last two.
 type Admission interface{ isAdmission() }
 
 // Free admits a request without a restriction.
@@ -84,9 +91,16 @@
 	Until time.Time
 }
 
-func (Free) isAdmission()    {}
-func (Single) isAdmission()  {}
-func (Refused) isAdmission() {}
+// afterIsolation means that the isolation has ended and that no server has survived a request since.
+type afterIsolation struct {
+	// ended is the time at which the isolation has ended.
+	ended time.Time
+}
+
+func (Free) isAdmission()           {}
+func (Single) isAdmission()         {}
+func (Refused) isAdmission()        {}
+func (afterIsolation) isAdmission() {}
 
 // Crash is the crash of a server that ran a request.
 type Crash struct {
@@ -125,6 +139,8 @@
 	contents Key
 	// anyService is set if this is the entry for any service. Other VMs are told of the others only, from which it follows.
 	anyService bool
+	// attemptedAt is the last time at which a request was admitted after an isolation, the zero time if none was.
+	attemptedAt time.Time
 	// wasSuspect is set once the requests have been restricted, so that a proof is told to other VMs.
 	wasSuspect bool
 }
@@ -158,6 +174,9 @@
 // Isolator tracks requests that ran at the crash of a server. Its methods are safe for concurrent use.
 type Isolator struct {
 	log zerolog.Logger
+	// position returns the position of this VM among all VMs, counted from 0, and their number. The position is -1 if this VM is not on
+	// their list. If it is nil, there is no other VM.
+	position func() (position, n int)
 
 	mu      sync.Mutex
 	entries map[Key]*entry
@@ -170,11 +189,13 @@
 	forgotten atomic.Uint64
 }
 
-// New returns an Isolator that has seen no crash.
-func New(log zerolog.Logger) *Isolator {
+// New returns an Isolator that has seen no crash. position returns the position of this VM among all VMs, counted from 0 and -1 if it is not
+// on their list, and their number. It is nil if there is only one.
+func New(position func() (position, n int), log zerolog.Logger) *Isolator {
 	return &Isolator{
-		log:     log,
-		entries: map[Key]*entry{},
+		log:      log,
+		position: position,
+		entries:  map[Key]*entry{},
 	}
 }
 
@@ -183,34 +204,88 @@
 	return i.tracked.Load() > 0
 }
 
-// Admit returns how many servers requests of the subject may be sent to.
+// Admit returns how many servers a request of the subject may be sent to. It has to be called once before the first attempt.
 func (i *Isolator) Admit(s Subject, now time.Time) Admission {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.admit(s, now)
+	k := i.deciding(s)
+	a := i.admission(k, now)
+	ended, ok := a.(afterIsolation)
+	if !ok {
+		return a
+	}
+	e := i.entries[k]
+	if now.Sub(e.attemptedAt) < attemptTurn || !i.hasTurn(k, now.Sub(ended.ended)) {
+		return Refused{
+			Until: now.Add(attemptTurn),
+		}
+	}
+	e.attemptedAt = now
+	return Single{}
+}
+
+// MayRepeat reports whether a request of the subject may be sent to more servers after the first attempt.
+func (i *Isolator) MayRepeat(s Subject, now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	_, free := i.admit(s, now).(Free)
+	return free
+}
+
+// IsIsolated reports whether requests of the subject that have been admitted before must not be sent any more.
+func (i *Isolator) IsIsolated(s Subject, now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	_, refused := i.admit(s, now).(Refused)
+	return refused
+}
+
+// hasTurn reports whether it is this VM's turn to send requests with the key, an age after the end of their isolation.
+func (i *Isolator) hasTurn(k Key, age time.Duration) bool {
+	position, n := 0, 1
+	if i.position != nil {
+		position, n = i.position()
+	}
+	if n <= 1 {
+		return position == 0
+	}
+	turn, offset := int(age/attemptTurn), age%attemptTurn
+	return (turn+int(k%Key(n)))%n == position && offset >= turnMargin && offset < attemptTurn-turnMargin
 }
 
-// admit is Admit. The caller must hold i.mu.
+// admit returns the admission of requests of the subject. The caller must hold i.mu.
 func (i *Isolator) admit(s Subject, now time.Time) Admission {
-	if e, ok := i.entries[s.Key]; ok {
-		a := e.admission(now)
-		if _, free := a.(Free); !free || !e.provedAt.IsZero() {
-			return a
-		}
+	return i.admission(i.deciding(s), now)
+}
+
+// deciding returns the key of the entry that decides on requests of the subject: that of the service if it restricts them or if a server
+// of the service has survived them, otherwise that of any service. The caller must hold i.mu.
+func (i *Isolator) deciding(s Subject) Key {
+	if e, ok := i.entries[s.Key]; ok && (len(e.crashes) >= suspectCrashes || !e.provedAt.IsZero()) {
+		return s.Key
 	}
-	if e, ok := i.entries[s.Contents]; ok {
+	return s.Contents
+}
+
+// admission returns what the entry with the key decides. The caller must hold i.mu.
+func (i *Isolator) admission(k Key, now time.Time) Admission {
+	if e, ok := i.entries[k]; ok {
 		return e.admission(now)
 	}
 	return Free{}
 }
 
 func (e *entry) admission(now time.Time) Admission {
-	n := len(e.crashes)
-	until := e.lastCrash().Add(isolationTime)
-	switch {
-	case n >= isolationCrashes && now.Before(until):
-		return Refused{
-			Until: until,
+	switch n := len(e.crashes); {
+	case n >= isolationCrashes:
+		until := e.lastCrash().Add(e.isolationTime())
+		if now.Before(until) {
+			return Refused{
+				Until: until,
+			}
+		}
+		return afterIsolation{
+			ended: until,
 		}
 	case n >= suspectCrashes:
 		return Single{}
@@ -219,6 +294,13 @@
 	}
 }
 
+// isolationTime returns how long requests are isolated after the last crash. It grows with each attempt after an isolation that crashes a
+// server again.
+func (e *entry) isolationTime() time.Duration {
+	n := len(e.crashes)
+	return min(max(isolationTime, 2*e.crashes[n-1].At.Sub(e.crashes[n-2].At)), maxIsolationTime)
+}
+
 // Crashes returns how often this VM has seen a request run at the crash of a server, Lifted how often an answer has ended the restriction of
 // requests, and Forgotten how many restricted requests were dropped for lack of room.
 func (i *Isolator) Crashes() uint64 { return i.crashes.Load() }
@@ -324,7 +406,7 @@
 // rank orders entries by how much would be lost without them.
 func (e *entry) rank(now time.Time) int {
 	switch e.admission(now).(type) {
-	case Refused:
+	case Refused, afterIsolation:
 		return 3
 	case Single:
 		return 2
@@ -387,18 +469,28 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for k, e := range i.entries {
-		lifetime := proofLifetime
-		// A proof is needed as long as there are crashes at other services.
-		if all, ok := i.entries[e.contents]; len(e.crashes) > 0 || ok && len(all.crashes) > 0 {
-			lifetime = singleLifetime
-		}
-		if now.Sub(e.changedAt) > lifetime {
+		if i.expired(e, now) {
 			delete(i.entries, k)
 		}
 	}
 	i.tracked.Store(int64(len(i.entries)))
 }
 
+// expired reports whether an entry is no longer needed. The caller must hold i.mu.
+func (i *Isolator) expired(e *entry, now time.Time) bool {
+	switch n := len(e.crashes); {
+	case n >= isolationCrashes:
+		return now.Sub(e.lastCrash()) > isolatedLifetime
+	case n > 0:
+		return now.Sub(e.lastCrash()) > singleLifetime
+	}
+	// A proof is needed as long as there are crashes at other services.
+	if all, ok := i.entries[e.contents]; ok && len(all.crashes) > 0 {
+		return false
+	}
+	return now.Sub(e.changedAt) > proofLifetime
+}
+
 // Reports returns what a VM should know that was told at the time lastTold for the last time: crashes that make requests suspects, proofs
 // about former suspects, and the crashes since then of requests that no server has survived.
 func (i *Isolator) Reports(lastTold, now time.Time) []messenger.CrashReport {
@@ -554,7 +646,7 @@
 		lasted := max(0, r.At.Sub(r.Began))
 		r.At = localTime(r, now)
 		r.Began = r.At.Add(-lasted)
-		if now.Sub(r.At) > singleLifetime {
+		if now.Sub(r.At) > isolatedLifetime {
 			continue
 		}
 		i.merge(r, now)
@@ -584,13 +676,13 @@
 	}
 }
 
-// Isolated returns the number of keys whose requests are refused.
-func (i *Isolator) Isolated(now time.Time) int {
+// Isolated returns the number of keys whose requests are isolated, or were and have not been answered since.
+func (i *Isolator) Isolated() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	n := 0
 	for _, e := range i.entries {
-		if _, ok := e.admission(now).(Refused); ok && !e.anyService {
+		if !e.anyService && len(e.crashes) >= isolationCrashes {
 			n++
 		}
 	}
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -35,7 +35,7 @@
 func TestSequencesOfCrashes(t *testing.T) {
 	data, err := os.ReadFile("testdata/crashes.txt")
 	assert.NilError(t, err)
-	own, other := isolator.New(zerolog.Nop()), isolator.New(zerolog.Nop())
+	own, other := isolator.New(nil, zerolog.Nop()), isolator.New(nil, zerolog.Nop())
 	var lastTold time.Time
 	// ahead is how much the clock of the other VM is ahead.
 	var ahead time.Duration
@@ -73,7 +73,7 @@
 		case "want":
 			assert.Equal(t, describe(i.Admit(subject(words[1]), now)), words[2], line)
 		case "isolated":
-			assert.Equal(t, strconv.Itoa(i.Isolated(now)), words[1], line)
+			assert.Equal(t, strconv.Itoa(i.Isolated()), words[1], line)
 		default:
 			t.Fatalf("unknown step: %s", line)
 		}
@@ -93,7 +93,7 @@
 
 // Guards against reports and entries that grow without bound while many servers crash under load.
 func TestReportsAreBounded(t *testing.T) {
-	i := isolator.New(zerolog.Nop())
+	i := isolator.New(nil, zerolog.Nop())
 	for n := range 10000 {
 		i.RecordCrash(isolator.Crash{
 			Subject: isolator.NewSubject("", uint64(n)),
@@ -113,7 +113,7 @@
 // (issue 43).
 func TestIsolatedRequestsOutlastCrashesOfOthers(t *testing.T) {
 	const isolated = 200
-	own, other, started := isolator.New(zerolog.Nop()), isolator.New(zerolog.Nop()), isolator.New(zerolog.Nop())
+	own, other, started := isolator.New(nil, zerolog.Nop()), isolator.New(nil, zerolog.Nop()), isolator.New(nil, zerolog.Nop())
 	crash := func(request, server int, at time.Time) {
 		own.RecordCrash(isolator.Crash{
 			Subject: isolator.NewSubject("1", uint64(request)),
@@ -131,9 +131,9 @@
 	for n := range 5000 {
 		crash(n, 10000+n, now)
 	}
-	assert.Equal(t, own.Isolated(now), isolated)
+	assert.Equal(t, own.Isolated(), isolated)
 	started.Merge(own.All(now), now)
-	assert.Equal(t, started.Isolated(now), isolated)
+	assert.Equal(t, started.Isolated(), isolated)
 	// Within 30 s of exchanges twice a second the other VM hears of all of them, although other servers crash all the time.
 	for n := range 60 {
 		now = now.Add(500 * time.Millisecond)
@@ -142,5 +142,41 @@
 		}
 		other.Merge(own.Reports(now.Add(-500*time.Millisecond), now), now)
 	}
-	assert.Equal(t, other.Isolated(now), isolated)
+	assert.Equal(t, other.Isolated(), isolated)
+}
+
+// A request that was isolated arrives at all VMs all the time. Guards against VMs that all try a server at the same moment once the isolation
+// has ended, and against VMs that never do (issue 43).
+func TestVMsTakeTurnsAfterIsolation(t *testing.T) {
+	const vms = 7
+	var all []*isolator.Isolator
+	for position := range vms {
+		i := isolator.New(func() (int, int) { return position, vms }, zerolog.Nop())
+		for c := range 3 {
+			at := start.Add(time.Duration(c) * time.Second)
+			i.RecordCrash(isolator.Crash{
+				Subject: subject("a"),
+				Server:  uint64(c),
+				Began:   at.Add(-time.Millisecond),
+				At:      at,
+			}, at)
+		}
+		all = append(all, i)
+	}
+	end := start.Add(2*time.Second + 10*time.Minute)
+	admitted := map[int]int{}
+	last := end.Add(-time.Hour)
+	for now := end; now.Before(end.Add(2 * vms * 5 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		for n, i := range all {
+			if describe(i.Admit(subject("a"), now)) != "single" {
+				continue
+			}
+			admitted[n]++
+			assert.Assert(t, now.Sub(last) > 2*time.Second, "VM %d is admitted %v after another one", n, now.Sub(last))
+			last = now
+		}
+	}
+	for n := range vms {
+		assert.Equal(t, admitted[n], 2)
+	}
 }
--- a/internal/isolator/keeper_test.go
+++ b/internal/isolator/keeper_test.go
@@ -59,7 +59,7 @@
 
 // restart begins with an empty memory, as all VMs of the zone do when they are killed at the same time.
 func (s *keeperScript) restart() {
-	s.isolator = New(zerolog.Nop())
+	s.isolator = New(nil, zerolog.Nop())
 	s.keeper = NewKeeper(KeeperOptions{
 		Zone:     "north",
 		Isolator: s.isolator,
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -174,7 +175,7 @@
 		}, initialVMCount),
 	}
 	isolatorLog := l.RateLimitedPart("isolator", droppedLines)
-	g.isolator = isolator.New(isolatorLog)
+	g.isolator = isolator.New(g.position, isolatorLog)
 	g.crashChecker = isolator.NewChecker(g.isolator, g.pooler, g.timer, isolatorLog)
 	g.balancer.SetVMCount(initialVMCount)
 	if cfg.MemoryBytes > 0 {
@@ -262,7 +263,7 @@
 		return float64(g.board.Routes.Read().Version)
 	})
 	g.exporter.Gauge("isolated_requests", "Contents of requests that are refused because they crashed backend servers.", func() float64 {
-		return float64(g.isolator.Isolated(g.timer.Now()))
+		return float64(g.isolator.Isolated())
 	})
 	g.registerCrashMetrics()
 	g.exporter.Gauge("vms", "Entry VMs on the platform's list.", func() float64 {
@@ -379,6 +380,14 @@
 	})
 }
 
+// position returns the position of this VM on the list of VMs, -1 if it is not there, and their number.
+func (g *Gateway) position() (position, n int) {
+	vms := g.board.VMs.Read().VMs
+	return slices.IndexFunc(vms, func(vm blackboard.VM) bool {
+		return vm.Name == g.cfg.Name
+	}), len(vms)
+}
+
 // readerVM returns the name of the VM that reads the platform for this VM.
 func (g *Gateway) readerVM() string {
 	name, _, _ := g.syncer.Source()
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -374,7 +374,7 @@
 			Board:    board,
 			Balancer: balancer.New(balancer.Config{}),
 			Budgeter: budgeter.New(budgetConfig, 1),
-			Isolator: isolator.New(zerolog.Nop()),
+			Isolator: isolator.New(nil, zerolog.Nop()),
 			Timer:    timer.NewWall(),
 			Log:      zerolog.Nop(),
 		})
