Check a broken server again if an attempt to reach it shows nothing

Cause: after a connection with a running request broke, a VM tried twice within 0.1 s to reach the server, each at most 0.3 s. If both attempts took too long, as on a slow link or a VM with little processor time, the crash was never recorded.

Change: up to two more attempts, 0.3 s and 1 s later, only if an attempt shows nothing.

--- a/internal/isolator/checker.go
+++ b/internal/isolator/checker.go
@@ -18,10 +18,12 @@
 const (
 	// checkTimeout limits a connection attempt to a server whose connection broke.
 	checkTimeout = 300 * time.Millisecond
-	// recheckDelay is the time until the second attempt. A process that ends closes its listener shortly after its connections.
-	recheckDelay = 100 * time.Millisecond
 )
 
+// recheckDelays are the times between the attempts. The second one is always made unless the first is refused, because a process that ends
+// closes its listener shortly after its connections; the others only after an attempt that shows nothing.
+var recheckDelays = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, time.Second}
+
 // Dialer opens a connection to a server and closes it again.
 type Dialer interface {
 	Reach(ctx context.Context, addr netip.AddrPort) error
@@ -88,8 +90,11 @@
 func (ch *check) run() {
 	c := ch.checker
 	err := ch.dial()
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		c.timer.Sleep(context.Background(), recheckDelay)
+	for n, delay := range recheckDelays {
+		if errors.Is(err, syscall.ECONNREFUSED) || err == nil && n > 0 {
+			break
+		}
+		c.timer.Sleep(context.Background(), delay)
 		err = ch.dial()
 	}
 	c.mu.Lock()
