Drop crash records of quarantined requests last

Change: entries of fingerprints that have reached the limit of crashes are dropped only if there are no others.

The executor clears a fingerprint after a success only and counts overlapping crashes in a number, so that the other two causes are not there; its counts still end with the processes of all VMs.

--- a/internal/executor/crash.go
+++ b/internal/executor/crash.go
@@ -22,7 +22,7 @@
 	// connections for a moment, because the operating system closes its sockets in no particular order.
 	crashCheckInterval = 20 * time.Millisecond
 	// MaxCrashFingerprints is the maximum number of fingerprints whose crashes this VM counts; above it, the one with the oldest
-	// crash is removed.
+	// crash is removed, quarantined ones last.
 	MaxCrashFingerprints = 4096
 	// CrashRetention is how long this VM keeps its own count of crashes with a fingerprint, which it uses in addition to the
 	// counts from gossip.
@@ -181,15 +181,20 @@
 	return c.crashes
 }
 
+// dropOldest drops the count whose last crash is the oldest. Counts that quarantine a fingerprint are dropped only if there are no others.
 func (t *crashTable) dropOldest() {
-	var oldest uint64
-	var at time.Time
+	var victim uint64
+	var least *crashCount
 	for f, c := range t.counts {
-		if at.IsZero() || c.lastCrash.Before(at) {
-			oldest, at = f, c.lastCrash
+		if least == nil || c.quarantines() != least.quarantines() && least.quarantines() || c.quarantines() == least.quarantines() && c.lastCrash.Before(least.lastCrash) {
+			victim, least = f, c
 		}
 	}
-	delete(t.counts, oldest)
+	delete(t.counts, victim)
+}
+
+func (c *crashCount) quarantines() bool {
+	return c.crashes >= blackboard.CrashLimit
 }
 
 // lookup returns the number of crashes with a fingerprint, and whether its cooldown is running.
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -330,6 +330,29 @@
 	}
 }
 
+// Thousands of other requests run at crashes after one has crashed two servers. Guards against a record map whose limit lets that one go
+// (issue 43).
+func TestQuarantineOutlastsCrashesOfOthers(t *testing.T) {
+	c := newCluster()
+	a, b := c.add("a", "zone"), c.add("b", "zone")
+	crash := func(g *Gossiper, fingerprint uint64) {
+		c.clock.Advance(time.Millisecond)
+		assert.NilError(t, g.Publish(messenger.RecordCrash, fmt.Sprintf("%d/%s", fingerprint, g.o.Name), messenger.CrashRecord{
+			Fingerprint: fingerprint,
+			Crashes:     1,
+		}))
+	}
+	crash(a, 1)
+	crash(b, 1)
+	c.run(6)
+	for n := range uint64(MaxCrashes + 10) {
+		crash(a, 10+n)
+	}
+	c.run(1)
+	assert.Equal(t, a.store.counts[messenger.RecordCrash], MaxCrashes)
+	assert.Assert(t, a.o.Board.Quarantine.Read().Refuses(1))
+}
+
 // Guards against wrong crash counts, a final MoveRolledBack that a later outcome replaces, a record map that exceeds its
 // limits, and records that reach a subscriber out of order.
 func TestCrashesAndMoveOutcomes(t *testing.T) {
--- a/internal/gossiper/store.go
+++ b/internal/gossiper/store.go
@@ -205,18 +205,40 @@
 	return evictsOldest(r.Kind) && s.removeOldest(r.Kind)
 }
 
+// removeOldest removes the oldest record of a kind. Crash records of quarantined fingerprints are removed only if there are no others.
 func (s *store) removeOldest(kind messenger.RecordKind) bool {
+	var crashes map[uint64]int
+	if kind == messenger.RecordCrash {
+		crashes = s.crashes()
+	}
 	var oldest recordKey
 	var seq uint64
+	oldestQuarantined := false
 	for k, e := range s.entries {
-		if k.kind == kind && (seq == 0 || e.record.Seq < seq) {
-			oldest, seq = k, e.record.Seq
+		if k.kind != kind {
+			continue
+		}
+		c, _ := e.value.(messenger.CrashRecord)
+		quarantined := crashes[c.Fingerprint] >= blackboard.CrashLimit
+		if seq == 0 || oldestQuarantined && !quarantined || oldestQuarantined == quarantined && e.record.Seq < seq {
+			oldest, seq, oldestQuarantined = k, e.record.Seq, quarantined
 		}
 	}
 	s.remove(oldest)
 	return seq != 0
 }
 
+// crashes returns the number of crashes by fingerprint, over all VMs that have seen any.
+func (s *store) crashes() map[uint64]int {
+	crashes := map[uint64]int{}
+	for _, e := range s.entries {
+		if c, ok := e.value.(messenger.CrashRecord); ok {
+			crashes[c.Fingerprint] += c.Crashes
+		}
+	}
+	return crashes
+}
+
 func (s *store) remove(k recordKey) {
 	if _, ok := s.entries[k]; ok {
 		delete(s.entries, k)
