--- a/internal/isolator/keeper_test.go
+++ b/internal/isolator/keeper_test.go
@@ -118,13 +118,13 @@
 }
 
 // saveRemote saves three crashes as another zone does.
-func (s *keeperScript) saveRemote(k Subject, now time.Time) {
+func (s *keeperScript) saveRemote(subject Subject, now time.Time) {
 	var archived archivedReports
 	for n := range 3 {
 		at := now.Add(time.Duration(n-3) * time.Second)
 		archived.Reports = append(archived.Reports, messenger.CrashReport{
-			Key:      uint64(k.Key),
-			Contents: uint64(k.Contents),
+			Key:      uint64(subject.Key),
+			Contents: uint64(subject.Contents),
 			Server:   uint64(n),
 			Began:    at.Add(-time.Millisecond),
 			At:       at,
@@ -169,3 +169,39 @@
 		s.run("1500 want b refused")
 	}
 }
+
+// More crashes are known than a zone can save, most of them of requests that are not restricted. Guards against isolated requests that are left
+// out of what is saved (issue 43).
+func TestIsolatedRequestsAreSavedFirst(t *testing.T) {
+	const isolated = 1200
+	i, saved := New(nil, zerolog.Nop()), New(nil, zerolog.Nop())
+	now := time.Unix(100000, 0)
+	crash := func(request, server int) {
+		i.RecordCrash(Crash{
+			Subject: NewSubject("service", uint64(request)),
+			Server:  uint64(server),
+			Began:   now.Add(-time.Millisecond),
+			At:      now,
+		}, now)
+	}
+	for c := range 3 {
+		for n := range isolated {
+			crash(n, 3*n+c)
+		}
+		now = now.Add(time.Second)
+	}
+	for n := range 600 {
+		crash(isolated+n, 10*isolated+n)
+	}
+	now = now.Add(time.Minute)
+	reports := i.durable(now)
+	assert.Equal(t, len(reports), maxSaved)
+	data, err := json.Marshal(archivedReports{
+		Reports: reports,
+	})
+	assert.NilError(t, err)
+	// The platform stores values of up to 1 MB.
+	assert.Assert(t, len(data) < 1<<20, "%d bytes", len(data))
+	saved.Merge(reports, now)
+	assert.Equal(t, saved.Isolated(), isolated)
+}
