Pass on at once that crashes restrict a request

All VMs were killed 0.33 s after a search had crashed its third server. Nothing had been saved, the search was taken for new, and 4.1 s later VMs that had heard of its next two crashes sent it to a server each, all at the same moment.

Cause: a crash waited for the next request for updates, then for the next exchange between zones and for the next round of the keeper, up to 0.5 s each.

Change: a VM that sees a crash which restricts requests tells the reader of its zone at once, which tells the other zones and saves it; waiting requests for updates are answered.

What happens in the moment before all VMs end is still not remembered.

--- a/internal/isolator/exchanger.go
+++ b/internal/isolator/exchanger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,8 +30,9 @@
 	Zone     string
 	Isolator *Isolator
 	Board    *blackboard.Gateway
-	// IsReader reports whether this VM reads the platform for its zone.
+	// IsReader reports whether this VM reads the platform for its zone. Reader returns the name of the VM that does.
 	IsReader func() bool
+	Reader   func() string
 	// Readers returns the VMs of a zone in the order in which they become its reader.
 	Readers func(zone string) []blackboard.VM
 	Client  messenger.Client
@@ -38,7 +40,8 @@
 	Log     zerolog.Logger
 }
 
-// Exchanger exchanges reports of crashes with the readers of the other zones while there are any.
+// Exchanger exchanges reports of crashes with the readers of the other zones while there are any, or tells the reader of its own zone at once
+// when this VM has seen crashes that restrict requests.
 type Exchanger struct {
 	o ExchangerOptions
 	// failed counts the failed exchanges with each zone in sequence. After a failure the next exchange goes to another VM of the zone.
@@ -46,6 +49,8 @@
 	failed map[string]int
 	// toldAt contains the times of the last exchange with each zone. Only the goroutine of Run uses it.
 	toldAt map[string]time.Time
+	// ownTold is the value of OwnRestrictions that the reader of the zone was last told of. Only the goroutine of Run uses it.
+	ownTold uint64
 	// cutOff is the result of IsCutOff.
 	cutOff atomic.Bool
 }
@@ -61,12 +66,51 @@
 
 // Run exchanges reports until ctx is done.
 func (x *Exchanger) Run(ctx context.Context) {
-	x.o.Timer.Every(ctx, exchangeInterval, func(now time.Time) {
+	tick := x.o.Timer.Subscribe(exchangeInterval)
+	defer tick.Stop()
+	restricted := x.o.Isolator.Restricted()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-restricted:
+		}
+		// What is recorded during the exchange leads to another one.
+		restricted = x.o.Isolator.Restricted()
+		now := x.o.Timer.Now()
 		x.o.Isolator.Expire(now)
-		if x.o.Isolator.Active() && x.o.IsReader() {
+		if !x.o.Isolator.Active() {
+			continue
+		}
+		if x.o.IsReader() {
 			x.exchange(ctx, now)
+		} else if own := x.o.Isolator.OwnRestrictions(); own != x.ownTold {
+			x.ownTold = own
+			x.tellReader(ctx, now)
 		}
+	}
+}
+
+// tellReader tells the reader of this zone at once what this VM has seen. It hears the rest with the next request for updates.
+func (x *Exchanger) tellReader(ctx context.Context, now time.Time) {
+	name := x.o.Reader()
+	vms := x.o.Board.VMs.Read().VMs
+	n := slices.IndexFunc(vms, func(vm blackboard.VM) bool {
+		return vm.Name == name && vm.Address.IsValid()
 	})
+	if n < 0 {
+		return
+	}
+	z := &zoneExchange{
+		exchanger: x,
+		vm:        vms[n],
+		reports:   x.o.Isolator.Reports(now, now),
+	}
+	z.run(ctx)
+	if z.err != nil {
+		x.o.Log.Info().Str("VM", name).Err(z.err).Msg("The reader of the zone did not reply to an exchange of crash reports.")
+	}
 }
 
 // IsCutOff reports whether the last exchanges with another zone have failed.
@@ -74,7 +118,7 @@
 	return x.cutOff.Load()
 }
 
-// zoneExchange is an exchange with a VM of another zone.
+// zoneExchange is an exchange with a VM of another zone, or with the reader of this one.
 type zoneExchange struct {
 	exchanger *Exchanger
 	vm        blackboard.VM
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -12,6 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
+
+	"github.com/anvildyke/anvildyke/internal/blackboard"
 )
 
 const (
@@ -91,6 +93,10 @@
 	// tracked is the number of entries. It is read without the lock, so that nothing is computed for a request while no server
 	// has crashed.
 	tracked atomic.Int64
+	// restrictions is written when crashes restrict requests more than before.
+	restrictions blackboard.Section[struct{}]
+	// ownRestrictions counts the writes of restrictions for crashes that this VM has seen.
+	ownRestrictions atomic.Uint64
 	// crashes, lifted and forgotten are returned by Crashes, Lifted and Forgotten.
 	crashes   atomic.Uint64
 	lifted    atomic.Uint64
@@ -183,6 +189,16 @@
 	return Free{}
 }
 
+// Restricted returns a channel that is closed when crashes restrict requests more than before, which other VMs should hear of at once.
+func (i *Isolator) Restricted() <-chan struct{} {
+	return i.restrictions.Changed()
+}
+
+// OwnRestrictions returns how often that was so for crashes that this VM has seen itself.
+func (i *Isolator) OwnRestrictions() uint64 {
+	return i.ownRestrictions.Load()
+}
+
 // Crashes returns how often this VM has seen a request run at the crash of a server, Lifted how often an answer has ended the restriction of
 // requests, and Forgotten how many restricted requests were dropped for lack of room.
 func (i *Isolator) Crashes() uint64 { return i.crashes.Load() }
@@ -199,6 +215,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	taken := i.add(c, now)
+	if taken && i.inSequence(c.Key) >= suspectCrashes {
+		i.ownRestrictions.Add(1)
+	}
 	i.log.Info().Str("Request", c.Request).Uint64("Key", uint64(c.Key)).Uint64("Server", c.Server).Bool("Taken", taken).Int("InSequence", i.inSequence(c.Key)).Time("Began", c.Began).Time("At", c.At).Msg("A backend server crashed while it ran a request.")
 }
 
@@ -227,6 +246,9 @@
 	if c.Contents != 0 {
 		i.addForAnyService(c, now)
 	}
+	if len(e.crashes) >= suspectCrashes {
+		defer i.restrictions.Write(&struct{}{})
+	}
 	switch after := e.admission(now).(type) {
 	case Free:
 	case Single:
--- a/internal/isolator/keeper.go
+++ b/internal/isolator/keeper.go
@@ -84,9 +84,19 @@
 
 // Run loads and saves until ctx is done.
 func (k *Keeper) Run(ctx context.Context) {
-	k.o.Timer.Every(ctx, keepInterval, func(now time.Time) {
-		k.run(ctx, now)
-	})
+	tick := k.o.Timer.Subscribe(keepInterval)
+	defer tick.Stop()
+	restricted := k.o.Isolator.Restricted()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-restricted:
+		}
+		restricted = k.o.Isolator.Restricted()
+		k.run(ctx, k.o.Timer.Now())
+	}
 }
 
 // run loads and saves once if there is a reason to.
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -345,6 +345,7 @@
 		Isolator: g.isolator,
 		Board:    g.board,
 		IsReader: g.isReader,
+		Reader:   g.readerVM,
 		Readers: func(zone string) []blackboard.VM {
 			return syncer.ReaderOrder(g.board.VMs.Read(), zone)
 		},
--- a/internal/syncer/peers.go
+++ b/internal/syncer/peers.go
@@ -199,8 +199,8 @@
 	Syncer *Syncer
 }
 
-// Follow replies with the changes since the caller's positions as soon as there are any, or after the wait. It replies at once
-// if the platform is down.
+// Follow replies with the changes since the caller's positions as soon as there are any, when crashes restrict requests more than before, or
+// after the wait. It replies at once if the platform is down.
 func (f *FeedServer) Follow(req messenger.FollowRequest, reply *messenger.FollowReply) (err error) {
 	defer messenger.RecoverCall(&err)
 	s := f.Syncer
@@ -230,6 +230,7 @@
 	}()
 	timeout := s.o.Timer.After(min(req.Wait, longPollTimeout))
 	defer timeout.Stop()
+	restricted := s.o.Isolator.Restricted()
 	for {
 		changed := s.changes.Changed()
 		changes := false
@@ -254,6 +255,8 @@
 		}
 		select {
 		case <-changed:
+		case <-restricted:
+			return nil
 		case <-timeout.C:
 			return nil
 		}
