Hold requests that have crashed servers for a random time

Cause: after two crashes every VM may send the request to one server. Of equal requests that arrive at many VMs at once, none is seen to crash a server before the others are sent. Class of fault: many that act at once on the same knowledge.

Change: such a request is held for a random time of up to 1 s, and up to half of the time it has left. A crash is told within some 0.1 s, so that most of the others are refused.

--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -36,6 +36,8 @@
 	running int
 	// maybeRan is the number of finished attempts whose request a server may have run.
 	maybeRan int
+	// heldUntil is the time before which the first attempt is not made, the zero time if it need not wait.
+	heldUntil time.Time
 	// sentAt is the start of the last attempt, or the time at which the budget last denied a hedge if that is later.
 	sentAt time.Time
 	// failed is true if no further attempt will be made.
@@ -195,7 +197,7 @@
 		return out
 	}
 	for i := range j.shards {
-		if !j.shards[i].failed {
+		if s := &j.shards[i]; !s.failed && s.heldUntil.IsZero() {
 			j.start(i, now)
 		}
 	}
@@ -239,6 +241,11 @@
 	return j.d.o.Isolator.Admit(j.subject(s), now)
 }
 
+// maxSuspectHold limits the random time for which a request that has crashed servers is held. It is several times as long as the report of a
+// crash takes to reach all VMs, so that of equal requests that arrive at many VMs at once most are refused once the first has crashed another
+// server.
+const maxSuspectHold = time.Second
+
 // failFast marks the shards without a server that may get requests as failed. It returns a Failure if too few shards remain, and
 // nil otherwise.
 func (j *job) failFast(now time.Time) Outcome {
@@ -249,13 +256,16 @@
 		if len(s.endpoints) > 0 {
 			listed++
 		}
-		if a, ok := j.admission(s, now).(isolator.Refused); ok {
+		switch a := j.admission(s, now).(type) {
+		case isolator.Refused:
 			s.failed = true
 			s.lastCode = classifier.Isolated
 			j.failed++
 			isolated++
 			isolatedUntil = a.Until
 			continue
+		case isolator.Single:
+			s.heldUntil = now.Add(rand.N(min(maxSuspectHold, max(1, j.deadline.Sub(now)/2))))
 		}
 		j.failIfUnavailable(s, now)
 	}
@@ -579,6 +589,7 @@
 				s.failed = true
 				s.lastCode = classifier.Isolated
 				j.failed++
+			case now.Before(s.heldUntil):
 			case !j.start(i, now):
 				j.failIfUnavailable(s, now)
 			}
