Let the keeper save crashes that follow each other at once

The readers had written less than a second before the crashes, and all VMs were killed 0.33 s after them.

Cause: the keeper let a second pass between any two writes, whatever they were about.

Change: five writes may follow each other at once, with one a second over time. What restricts requests is also written again every 30 s, because two VMs may take themselves for the reader of a zone for a while and replace what the other has written.

Evidence: the last lines of testdata/keeper.txt fail before (the second of two crashes in a row is not written).

--- a/internal/isolator/keeper.go
+++ b/internal/isolator/keeper.go
@@ -14,10 +14,15 @@
 
 const (
 	keepInterval = 500 * time.Millisecond
-	// saveInterval is the shortest time between two writes of a VM, archiveRetry the time until the next call after one has failed.
+	// A VM makes one write in each saveInterval over time, and up to saveBurst at once, so that crashes that follow each other are all saved
+	// before the VMs may end. archiveRetry is the time until the next call after one has failed.
 	saveInterval   = time.Second
+	saveBurst      = 5
 	archiveRetry   = 2 * time.Second
 	archiveTimeout = time.Second
+	// refreshInterval is the time after which restrictions are saved again, in case another VM that took itself for the reader of the zone
+	// has replaced them.
+	refreshInterval = 30 * time.Second
 	// reloadInterval is the time between two reads while another zone cannot be reached.
 	reloadInterval = 2 * time.Second
 	// durableDelay is the age from which a crash is saved that restricts nothing. Most requests have been answered by then.
@@ -59,9 +64,13 @@
 	// saved contains the crashes in the data of the zone, and restricted the keys among them whose requests were restricted.
 	saved      map[savedCrash]bool
 	restricted map[Key]bool
-	// notBefore is the time of the next call, and reloadAt that of the next read while another zone cannot be reached.
+	// savedAt is the time of the last write.
+	savedAt time.Time
+	// notBefore is the time of the next call after one has failed, and reloadAt that of the next read while another zone cannot be reached.
 	notBefore time.Time
 	reloadAt  time.Time
+	// savesUntil is the time up to which writes have been used: each adds saveInterval, and it may be ahead by saveBurst of these.
+	savesUntil time.Time
 }
 
 // savedCrash identifies a crash in the archive.
@@ -150,6 +159,7 @@
 		k.o.Isolator.Merge(archived.Reports, now)
 		if zone == k.o.Zone && !allowStale {
 			k.recordSaved(archived.Reports)
+			k.savedAt = now
 		}
 	}
 	if loaded > 0 && !allowStale {
@@ -158,10 +168,11 @@
 	return nil
 }
 
-// save writes the data of the zone if it lacks a crash or states one that no longer restricts requests.
+// save writes the data of the zone if it lacks a crash, states one that no longer restricts requests, or has not been written for some time.
 func (k *Keeper) save(ctx context.Context, now time.Time) error {
 	reports := k.o.Isolator.durable(now)
-	if !k.changed(reports) {
+	refresh := len(k.restricted) > 0 && now.Sub(k.savedAt) >= refreshInterval
+	if !refresh && !k.changed(reports) || k.savesUntil.Sub(now) > (saveBurst-1)*saveInterval {
 		return nil
 	}
 	data, err := json.Marshal(archivedReports{
@@ -170,11 +181,15 @@
 	if err != nil {
 		return err
 	}
+	if k.savesUntil.Before(now) {
+		k.savesUntil = now
+	}
+	k.savesUntil = k.savesUntil.Add(saveInterval)
 	if err := k.o.Archive.Save(ctx, k.o.Zone, data); err != nil {
 		return err
 	}
-	k.notBefore = now.Add(saveInterval)
 	k.recordSaved(reports)
+	k.savedAt = now
 	return nil
 }
 
