Recognize a crashed server that is started again at once

Cause: a server counted as crashed only if it refused a connection. A process that has taken its place accepts one.

Change: if a broken server listens again or cannot be reached, the list of servers is watched for 4 s for a later process at its address.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -242,10 +242,16 @@
 		Sender:   f.sender,
 		Observer: discardObserver{},
 		Isolator: crashed,
-		Checker:  isolator.NewChecker(crashed, f.sender, timer.NewWall(), zerolog.Nop()),
-		Timer:    timer.NewWall(),
-		Log:      zerolog.Nop(),
-		Metrics:  dispatcher.NewMetrics(prometheus.NewRegistry()),
+		Checker: isolator.NewChecker(isolator.CheckerOptions{
+			Isolator:   crashed,
+			Dialer:     f.sender,
+			IsReplaced: func(discoverer.Key) bool { return false },
+			Timer:      timer.NewWall(),
+			Log:        zerolog.Nop(),
+		}),
+		Timer:   timer.NewWall(),
+		Log:     zerolog.Nop(),
+		Metrics: dispatcher.NewMetrics(prometheus.NewRegistry()),
 	})
 	return f
 }
--- a/internal/isolator/checker.go
+++ b/internal/isolator/checker.go
@@ -18,6 +18,10 @@
 const (
 	// checkTimeout limits a connection attempt to a server whose connection broke.
 	checkTimeout = 300 * time.Millisecond
+	// replacementWait is how long the list of servers is watched for a process that has taken the place of one that ended and was started
+	// again before the first attempt. It covers a report of the server and its way to this VM.
+	replacementWait = 4 * time.Second
+	replacementPoll = 500 * time.Millisecond
 )
 
 // recheckDelays are the times between the attempts. The second one is always made unless the first is refused, because a process that ends
@@ -29,13 +33,20 @@
 	Reach(ctx context.Context, addr netip.AddrPort) error
 }
 
+// CheckerOptions are the dependencies of a Checker.
+type CheckerOptions struct {
+	Isolator *Isolator
+	Dialer   Dialer
+	// IsReplaced reports whether the list of servers has a later process at the address of the server.
+	IsReplaced func(k discoverer.Key) bool
+	Timer      *timer.Service
+	Log        zerolog.Logger
+}
+
 // Checker finds out whether a server has crashed after a connection with a running request broke, and reports crashes to an Isolator.
 // Its methods are safe for concurrent use.
 type Checker struct {
-	isolator *Isolator
-	dialer   Dialer
-	timer    *timer.Service
-	log      zerolog.Logger
+	o CheckerOptions
 	// alive and unknown count the checks that found a listening process, or could not find out whether there is one.
 	alive   atomic.Uint64
 	unknown atomic.Uint64
@@ -46,13 +57,10 @@
 }
 
 // NewChecker returns a Checker. It starts a goroutine for each server that is checked.
-func NewChecker(i *Isolator, d Dialer, t *timer.Service, log zerolog.Logger) *Checker {
+func NewChecker(o CheckerOptions) *Checker {
 	return &Checker{
-		isolator: i,
-		dialer:   d,
-		timer:    t,
-		log:      log,
-		pending:  map[discoverer.Key][]Crash{},
+		o:       o,
+		pending: map[discoverer.Key][]Crash{},
 	}
 }
 
@@ -94,21 +102,33 @@
 		if errors.Is(err, syscall.ECONNREFUSED) || err == nil && n > 0 {
 			break
 		}
-		c.timer.Sleep(context.Background(), delay)
+		c.o.Timer.Sleep(context.Background(), delay)
 		err = ch.dial()
 	}
 	c.mu.Lock()
 	crashes := c.pending[ch.key]
 	delete(c.pending, ch.key)
 	c.mu.Unlock()
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !errors.Is(err, syscall.ECONNREFUSED) && !ch.isReplaced() {
 		ch.reportNoCrash(crashes, err)
 		return
 	}
-	now := c.timer.Now()
+	now := c.o.Timer.Now()
 	for _, crash := range crashes {
-		c.isolator.RecordCrash(crash, now)
+		c.o.Isolator.RecordCrash(crash, now)
+	}
+}
+
+// isReplaced waits for the list of servers to show whether a process that listens at the server's address is another one.
+func (ch *check) isReplaced() bool {
+	c := ch.checker
+	for waited := time.Duration(0); waited < replacementWait; waited += replacementPoll {
+		if c.o.IsReplaced(ch.key) {
+			return true
+		}
+		c.o.Timer.Sleep(context.Background(), replacementPoll)
 	}
+	return c.o.IsReplaced(ch.key)
 }
 
 // reportNoCrash reports that the server is not known to have crashed. A server that cannot be reached may still run.
@@ -120,7 +140,7 @@
 		c.unknown.Add(1)
 	}
 	for _, crash := range crashes {
-		c.log.Info().Str("Request", crash.Request).Uint64("Key", uint64(crash.Key)).Str("Server", ch.key.ID).Bool("Listens", err == nil).Err(err).Msg("The connection to a backend server broke while a request ran, but the server is not known to have crashed.")
+		c.o.Log.Info().Str("Request", crash.Request).Uint64("Key", uint64(crash.Key)).Str("Server", ch.key.ID).Bool("Listens", err == nil).Err(err).Msg("The connection to a backend server broke while a request ran, but the server is not known to have crashed.")
 	}
 }
 
@@ -128,5 +148,5 @@
 func (ch *check) dial() error {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	return ch.checker.dialer.Reach(ctx, ch.key.Address)
+	return ch.checker.o.Dialer.Reach(ctx, ch.key.Address)
 }
--- a/internal/isolator/checker_test.go
+++ b/internal/isolator/checker_test.go
@@ -42,7 +42,7 @@
 }
 
 // Guards against a crash that is not seen because the first attempts to reach the server take too long, as on a VM with little processor
-// time, and against a server that is held for crashed although it listens or cannot be reached (issue 43).
+// time, against a process that is started again so soon that it is taken for the one that crashed, and against a server that is held for crashed although it listens or cannot be reached (issue 43).
 func TestChecksFindCrashes(t *testing.T) {
 	for results, want := range map[string]string{
 		"refused":                         "crashed",
@@ -52,13 +52,25 @@
 		"listens listens":                 "alive",
 		"timeout listens refused":         "alive",
 		"timeout":                         "unknown",
+		"listens/replaced":                "crashed",
+		"timeout/replaced":                "crashed",
 	} {
 		t.Run(results, func(t *testing.T) {
 			t.Parallel()
 			i := isolator.New(nil, zerolog.Nop())
-			c := isolator.NewChecker(i, &scriptedDialer{
-				results: strings.Fields(results),
-			}, timer.NewWall(), zerolog.Nop())
+			began := time.Now()
+			dials, replaced, _ := strings.Cut(results, "/")
+			c := isolator.NewChecker(isolator.CheckerOptions{
+				Isolator: i,
+				Dialer: &scriptedDialer{
+					results: strings.Fields(dials),
+				},
+				IsReplaced: func(discoverer.Key) bool {
+					return replaced != "" && time.Since(began) > time.Second
+				},
+				Timer: timer.NewWall(),
+				Log:   zerolog.Nop(),
+			})
 			now := time.Now()
 			c.ConnectionBroke(&discoverer.Server{
 				ID: "i-1",
--- a/internal/runner/gateway.go
+++ b/internal/runner/gateway.go
@@ -174,9 +174,7 @@
 			FixedAllowance: cfg.RetryExtra,
 		}, initialVMCount),
 	}
-	isolatorLog := l.RateLimitedPart("isolator", droppedLines)
-	g.isolator = isolator.New(g.position, isolatorLog)
-	g.crashChecker = isolator.NewChecker(g.isolator, g.pooler, g.timer, isolatorLog)
+	g.buildIsolator()
 	g.balancer.SetVMCount(initialVMCount)
 	if cfg.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(cfg.MemoryBytes)))
@@ -389,6 +387,30 @@
 	}), len(vms)
 }
 
+func (g *Gateway) buildIsolator() {
+	log := g.logger.RateLimitedPart("isolator", g.droppedLines)
+	g.isolator = isolator.New(g.position, log)
+	g.crashChecker = isolator.NewChecker(isolator.CheckerOptions{
+		Isolator:   g.isolator,
+		Dialer:     g.pooler,
+		IsReplaced: g.isReplaced,
+		Timer:      g.timer,
+		Log:        log,
+	})
+}
+
+// isReplaced reports whether the list of servers has a later process at the address of a server.
+func (g *Gateway) isReplaced(k discoverer.Key) bool {
+	for _, endpoints := range g.board.Servers.Read().ByService {
+		for _, e := range endpoints {
+			if e.Address == k.Address && !e.Lapsed && e.Key().StartMillis > k.StartMillis {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // readerVM returns the name of the VM that reads the platform for this VM.
 func (g *Gateway) readerVM() string {
 	name, _, _ := g.syncer.Source()
