Tell departures of servers again to VMs that missed them

Change: announcements in a message that failed are told again, and a reply has those since the last reply to the same VM, all of the last 15 minutes if there was none.

Evidence: the two new cases of testdata/withdrawals.txt fail without the change (the server that left is selected). No rule was broken: DRAIN binds each VM by the announcements that it has passed on itself.

--- a/internal/balancer/observation.go
+++ b/internal/balancer/observation.go
@@ -194,6 +194,17 @@
 	return list
 }
 
+// ReturnObservations takes back observations that did not reach another VM. Departures are told again; the others are out of date soon.
+func (b *Balancer) ReturnObservations(list []Observation) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, o := range list {
+		if d, ok := b.departures[o.Server]; ok && o.Leaving {
+			d.unreported = true
+		}
+	}
+}
+
 // compareLeaving orders servers that are leaving before others, so that a full message does not omit them.
 func compareLeaving(x, y bool) int {
 	switch {
@@ -230,8 +241,9 @@
 }
 
 // ZoneHealth adds this VM's own observations and returns the combined health of the servers that are slow or failing, or were so
-// within maxHealthAge.
-func (b *Balancer) ZoneHealth(now time.Time) []ServerHealth {
+// within maxHealthAge, and the departures that have become known since the receiver was told at the time toldAt, the zero time if it was
+// told nothing yet.
+func (b *Balancer) ZoneHealth(toldAt, now time.Time) []ServerHealth {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.addObservations(b.takeObservations(now), now)
@@ -245,19 +257,19 @@
 			Age:      max(now.Sub(z.updatedAt()), 0),
 		})
 	}
-	list = b.markDepartures(list, now)
+	list = b.markDepartures(list, toldAt, now)
 	slices.SortFunc(list, func(x, y ServerHealth) int {
 		return cmp.Or(compareLeaving(x.Leaving, y.Leaving), cmp.Compare(y.Failures, x.Failures), cmp.Compare(y.Slowness, x.Slowness))
 	})
 	return list[:min(len(list), maxHealthEntries)]
 }
 
-// markDepartures sets Leaving for the servers whose departure has become known within maxHealthAge, and adds those that list does
-// not contain. VMs that exchange observations receive each departure several times.
-func (b *Balancer) markDepartures(list []ServerHealth, now time.Time) []ServerHealth {
+// markDepartures sets Leaving for the servers whose departure has become known since maxHealthAge before toldAt, and adds those that list
+// does not contain. VMs that exchange observations receive each departure several times.
+func (b *Balancer) markDepartures(list []ServerHealth, toldAt, now time.Time) []ServerHealth {
 	recent := map[uint64]*departure{}
 	for server, d := range b.departures {
-		if now.Sub(d.since) <= maxHealthAge {
+		if toldAt.Sub(d.since) <= maxHealthAge {
 			recent[server] = d
 		}
 	}
--- a/internal/balancer/observation_test.go
+++ b/internal/balancer/observation_test.go
@@ -86,7 +86,7 @@
 	for _, vm := range s.vms[1:] {
 		s.vms[0].AddObservations(vm.TakeObservations(now), now)
 	}
-	health := s.vms[0].ZoneHealth(now)
+	health := s.vms[0].ZoneHealth(now, now)
 	for _, vm := range s.vms[1:] {
 		vm.ApplyZoneHealth(health, now)
 	}
@@ -197,18 +197,18 @@
 	for range 6 {
 		runAttempt(b, balancer.Answered)
 	}
-	health := b.ZoneHealth(now)
+	health := b.ZoneHealth(now, now)
 	assert.Equal(t, len(health), 1)
 	assert.Assert(t, health[0].Failures > 0.2 && health[0].Failures < 0.35, "%+v", health[0])
 	a.ApplyZoneHealth(health, now)
 	reportedAt := now
 	runAttempt(b, balancer.Answered)
-	newer := b.ZoneHealth(now)
+	newer := b.ZoneHealth(now, now)
 	a.ApplyZoneHealth(newer, now)
 	a.ApplyZoneHealth(health, reportedAt)
-	assert.Equal(t, a.ZoneHealth(now)[0].Failures, newer[0].Failures)
+	assert.Equal(t, a.ZoneHealth(now, now)[0].Failures, newer[0].Failures)
 	now = now.Add(time.Minute)
-	assert.Equal(t, len(a.ZoneHealth(now)), 0)
+	assert.Equal(t, len(a.ZoneHealth(now, now)), 0)
 	assert.Equal(t, len(b.TakeObservations(now)), 0)
 }
 
@@ -221,7 +221,7 @@
 		b.Begin(e, search.Name, now).End(balancer.AttemptResult{
 			Outcome: outcome,
 		}, now)
-		b.ZoneHealth(now)
+		b.ZoneHealth(now, now)
 	}
 	send(balancer.Answered)
 	assert.Equal(t, len(b.HealthChanges(now)), 0)
@@ -234,7 +234,7 @@
 	assert.Assert(t, b.HealthChanges(now)[0].Ejected)
 	b.RecordProbe(e, true, now)
 	now = now.Add(time.Minute)
-	b.ZoneHealth(now)
+	b.ZoneHealth(now, now)
 	changes = b.HealthChanges(now)
 	assert.Equal(t, len(changes), 1)
 	assert.Assert(t, !changes[0].Degraded && !changes[0].Ejected, "%+v", changes[0])
--- a/internal/balancer/withdrawal_test.go
+++ b/internal/balancer/withdrawal_test.go
@@ -21,6 +21,8 @@
 	vm, collector *balancer.Balancer
 	servers       map[string]discoverer.Endpoint
 	now           time.Time
+	// toldAt is the time of the last message of the collector to the VM.
+	toldAt time.Time
 }
 
 func newWithdrawalScript(t *testing.T) *withdrawalScript {
@@ -51,10 +53,15 @@
 		assert.NilError(s.t, err)
 		s.now = start.Add(time.Duration(ms) * time.Millisecond)
 	case "reply":
-		s.reply(s.servers[fields[1]], fields[2:])
+		s.reply(s.vm, s.servers[fields[1]], fields[2:])
 	case "tell":
 		s.collector.AddObservations(s.vm.TakeObservations(s.now), s.now)
-		s.vm.ApplyZoneHealth(s.collector.ZoneHealth(s.now), s.now)
+		s.vm.ApplyZoneHealth(s.collector.ZoneHealth(s.toldAt, s.now), s.now)
+		s.toldAt = s.now
+	case "lose":
+		s.vm.ReturnObservations(s.vm.TakeObservations(s.now))
+	case "collect":
+		s.reply(s.collector, s.servers[fields[1]], fields[2:])
 	case "forget":
 		forgotten := s.servers[fields[1]].Key()
 		s.vm.Retain(func(k discoverer.Key) bool { return k != forgotten }, func(string) bool { return true }, s.now)
@@ -71,7 +78,7 @@
 	}
 }
 
-func (s *withdrawalScript) reply(e discoverer.Endpoint, words []string) {
+func (s *withdrawalScript) reply(b *balancer.Balancer, e discoverer.Endpoint, words []string) {
 	s.t.Helper()
 	r := balancer.AttemptResult{
 		Outcome: balancer.Answered,
@@ -91,7 +98,7 @@
 			s.t.Fatalf("unknown word %q", word)
 		}
 	}
-	s.vm.Begin(e, search.Name, s.now).End(r, s.now)
+	b.Begin(e, search.Name, s.now).End(r, s.now)
 }
 
 // check compares a selection or a waiting time with the expected one. A selection is repeated, because it contains a random part.
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -427,8 +427,9 @@
 	Load float64
 	// Crashes contains the sender's reports of requests that ran at the crash of a backend server.
 	Crashes []CrashReport
-	// AllCrashes is set if the sender wants all reports of the receiver, because another VM has replied to its last request or none.
-	AllCrashes bool
+	// First is set if another VM has replied to the sender's last request or none. The receiver then replies with all reports and departures
+	// instead of those since its last reply.
+	First bool
 }
 
 // FollowReply contains the changes of those kinds of objects that have changed.
--- a/internal/syncer/peers.go
+++ b/internal/syncer/peers.go
@@ -124,7 +124,7 @@
 		Eras:  map[string]uint64{},
 		Wait:  wait,
 		// A VM that starts while the platform does not answer learns of all crashes from any other VM.
-		AllCrashes: wait == 0 && !s.synced(),
+		First: wait == 0 && !s.synced(),
 	}
 	for _, l := range s.o.Logs {
 		position, _ := l.Position()
@@ -136,7 +136,7 @@
 		req.Seen = s.o.Balancer.TakeObservations(now)
 		req.Load = s.o.Budgeter.FirstAttempts(now)
 		req.Crashes = s.o.Isolator.Reports(s.toldAt, now)
-		req.AllCrashes = addr != s.toldBy
+		req.First = addr != s.toldBy
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+longPollGrace)
 	defer cancel()
@@ -146,6 +146,9 @@
 	if err == nil && wait > 0 {
 		s.toldAt, s.toldBy = now, addr
 	}
+	if err != nil {
+		s.o.Balancer.ReturnObservations(req.Seen)
+	}
 	s.o.Balancer.ApplyZoneHealth(reply.Conditions, now)
 	s.o.Isolator.Merge(reply.Crashes, now)
 	if reply.Share > 0 {
@@ -206,10 +209,13 @@
 	s := f.Syncer
 	s.o.Balancer.AddObservations(req.Seen, s.o.Timer.Now())
 	s.o.Isolator.Merge(req.Crashes, s.o.Timer.Now())
-	lastContact := s.contact(req.From)
+	var lastContact time.Time
+	if !req.First {
+		lastContact = s.contact(req.From)
+	}
 	defer func() {
 		now := s.o.Timer.Now()
-		if req.AllCrashes {
+		if req.First {
 			reply.Crashes = s.o.Isolator.All(now)
 		} else {
 			reply.Crashes = s.o.Isolator.Reports(lastContact, now)
@@ -221,7 +227,7 @@
 		defer func() {
 			now := s.o.Timer.Now()
 			reply.Age = s.age(now)
-			reply.Conditions = s.o.Balancer.ZoneHealth(now)
+			reply.Conditions = s.o.Balancer.ZoneHealth(lastContact, now)
 			reply.Share = s.share(req.From, now)
 		}()
 	}
