--- a/Makefile
+++ b/Makefile
@@ -38,8 +38,10 @@
 
 # Plays the seeds FROM-TO of the soaks, one after the other. See docs/SOAK.md.
 SEEDS := 1-5
+CRASH_VMS := 12
 soak: build
-	SOAK_SEEDS=$(SEEDS) STOP_SEEDS=$(SEEDS) RESTORE_SEEDS=$(SEEDS) TEST_BIN_DIR=$(BIN) go test -count=1 -v -timeout 0 -run '^(TestSoak|TestStopsUnderKeptConnections|TestRestoresUnderLoad)$$' ./platform
+	SOAK_SEEDS=$(SEEDS) STOP_SEEDS=$(SEEDS) RESTORE_SEEDS=$(SEEDS) CRASH_SEEDS=$(SEEDS) CRASH_VMS=$(CRASH_VMS) TEST_BIN_DIR=$(BIN) \
+		go test -count=1 -v -timeout 0 -run '^(TestSoak|TestStopsUnderKeptConnections|TestRestoresUnderLoad|TestCrashingRequestsUnderFaults)$$' ./platform
 
 lint: tools
 	test -z "$$($(BIN)/gofumpt -l cmd internal platform)" || { $(BIN)/gofumpt -d cmd internal platform; exit 1; }
