Limit how often restrictions are passed on, and read cut zones only then

The loops of the exchanger and the keeper are one now. It pauses for 30 ms after each round, because a flood of requests that crash servers would otherwise be passed on message by message. The keeper looks at its budget before it collects what to write.

--- a/internal/isolator/exchanger.go
+++ b/internal/isolator/exchanger.go
@@ -66,30 +66,19 @@
 
 // Run exchanges reports until ctx is done.
 func (x *Exchanger) Run(ctx context.Context) {
-	tick := x.o.Timer.Subscribe(exchangeInterval)
-	defer tick.Stop()
-	restricted := x.o.Isolator.Restricted()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		case <-restricted:
-		}
-		// What is recorded during the exchange leads to another one.
-		restricted = x.o.Isolator.Restricted()
-		now := x.o.Timer.Now()
+	x.o.Isolator.everyRestriction(ctx, x.o.Timer, exchangeInterval, func(now time.Time) {
 		x.o.Isolator.Expire(now)
-		if !x.o.Isolator.Active() {
-			continue
-		}
-		if x.o.IsReader() {
-			x.exchange(ctx, now)
-		} else if own := x.o.Isolator.OwnRestrictions(); own != x.ownTold {
+		own := x.o.Isolator.OwnRestrictions()
+		switch {
+		case !x.o.Isolator.Active():
+			x.cutOff.Store(false)
+		case x.o.IsReader():
+			x.cutOff.Store(!x.exchange(ctx, now))
+		case own != x.ownTold:
 			x.ownTold = own
 			x.tellReader(ctx, now)
 		}
-	}
+	})
 }
 
 // tellReader tells the reader of this zone at once what this VM has seen. It hears the rest with the next request for updates.
@@ -102,7 +91,7 @@
 	if n < 0 {
 		return
 	}
-	z := &zoneExchange{
+	z := &peerExchange{
 		exchanger: x,
 		vm:        vms[n],
 		reports:   x.o.Isolator.Reports(now, now),
@@ -113,20 +102,20 @@
 	}
 }
 
-// IsCutOff reports whether the last exchanges with another zone have failed.
+// IsCutOff reports whether the last exchanges with another zone have failed, as of the last time that there was anything to tell it.
 func (x *Exchanger) IsCutOff() bool {
 	return x.cutOff.Load()
 }
 
-// zoneExchange is an exchange with a VM of another zone, or with the reader of this one.
-type zoneExchange struct {
+// peerExchange is an exchange with a VM of another zone, or with the reader of this one.
+type peerExchange struct {
 	exchanger *Exchanger
 	vm        blackboard.VM
 	reports   []messenger.CrashReport
 	err       error
 }
 
-func (z *zoneExchange) run(ctx context.Context) {
+func (z *peerExchange) run(ctx context.Context) {
 	o := z.exchanger.o
 	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -139,9 +128,9 @@
 	}
 }
 
-// exchange tells each other zone what it does not know yet, if there is anything.
-func (x *Exchanger) exchange(ctx context.Context, now time.Time) {
-	zones := map[string]*zoneExchange{}
+// exchange tells each other zone what it does not know yet, if there is anything. It reports whether no zone is taken for cut off.
+func (x *Exchanger) exchange(ctx context.Context, now time.Time) bool {
+	zones := map[string]*peerExchange{}
 	var wg sync.WaitGroup
 	for _, vm := range x.o.Board.VMs.Read().VMs {
 		if _, ok := zones[vm.Zone]; ok || vm.Zone == x.o.Zone {
@@ -152,7 +141,7 @@
 		if len(readers) == 0 || len(reports) == 0 {
 			continue
 		}
-		z := &zoneExchange{
+		z := &peerExchange{
 			exchanger: x,
 			vm:        readers[x.failed[vm.Zone]%len(readers)],
 			reports:   reports,
@@ -163,10 +152,7 @@
 		})
 	}
 	wg.Wait()
-	cutOff := false
-	defer func() {
-		x.cutOff.Store(cutOff)
-	}()
+	reachesAll := true
 	for zone, z := range zones {
 		if z.err == nil {
 			x.failed[zone] = 0
@@ -174,9 +160,10 @@
 			continue
 		}
 		x.failed[zone]++
-		cutOff = cutOff || x.failed[zone] >= cutOffFailures
+		reachesAll = reachesAll && x.failed[zone] < cutOffFailures
 		x.o.Log.Info().Str("VM", z.vm.Name).Err(z.err).Msg("A VM did not reply to an exchange of crash reports.")
 	}
+	return reachesAll
 }
 
 // Server serves the RPC method Exchange to other VMs.
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -15,6 +16,7 @@
 
 	"github.com/anvildyke/anvildyke/internal/blackboard"
 	"github.com/anvildyke/anvildyke/internal/messenger"
+	"github.com/anvildyke/anvildyke/internal/timer"
 )
 
 const (
@@ -24,6 +26,8 @@
 	// singleLifetime is how long crashes are remembered that do not isolate a request, and isolatedLifetime those that do.
 	singleLifetime   = 20 * time.Minute
 	isolatedLifetime = 24 * time.Hour
+	// restrictionPause limits how often restrictions are passed on while many requests crash servers.
+	restrictionPause = 30 * time.Millisecond
 	// maxEntries limits the number of entries, one for each request at each service and one for each request.
 	// They are removed many at a time, down to keptEntries, because choosing them means to sort all.
 	maxEntries  = 4096
@@ -198,6 +202,25 @@
 	return i.restrictions.Changed()
 }
 
+// everyRestriction calls f at each tick of period, and at once when crashes restrict requests more than before, until ctx is done.
+func (i *Isolator) everyRestriction(ctx context.Context, t *timer.Service, period time.Duration, f func(now time.Time)) {
+	tick := t.Subscribe(period)
+	defer tick.Stop()
+	restricted := i.Restricted()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-restricted:
+		}
+		// What is recorded while f runs leads to another call.
+		restricted = i.Restricted()
+		f(t.Now())
+		t.Sleep(ctx, restrictionPause)
+	}
+}
+
 // OwnRestrictions returns how often that was so for crashes that this VM has seen itself.
 func (i *Isolator) OwnRestrictions() uint64 {
 	return i.ownRestrictions.Load()
--- a/internal/isolator/keeper.go
+++ b/internal/isolator/keeper.go
@@ -93,23 +93,13 @@
 
 // Run loads and saves until ctx is done.
 func (k *Keeper) Run(ctx context.Context) {
-	tick := k.o.Timer.Subscribe(keepInterval)
-	defer tick.Stop()
-	restricted := k.o.Isolator.Restricted()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		case <-restricted:
-		}
-		restricted = k.o.Isolator.Restricted()
-		k.run(ctx, k.o.Timer.Now())
-	}
+	k.o.Isolator.everyRestriction(ctx, k.o.Timer, keepInterval, func(now time.Time) {
+		k.keepIfReader(ctx, now)
+	})
 }
 
-// run loads and saves once if there is a reason to.
-func (k *Keeper) run(ctx context.Context, now time.Time) {
+// keepIfReader loads and saves once if that is the task of this VM and there is a reason to.
+func (k *Keeper) keepIfReader(ctx context.Context, now time.Time) {
 	if now.Before(k.notBefore) || !k.o.IsReader() || !k.o.PlatformAnswers() {
 		return
 	}
@@ -170,9 +160,12 @@
 
 // save writes the data of the zone if it lacks a crash, states one that no longer restricts requests, or has not been written for some time.
 func (k *Keeper) save(ctx context.Context, now time.Time) error {
+	if k.savesUntil.Sub(now) > (saveBurst-1)*saveInterval {
+		return nil
+	}
 	reports := k.o.Isolator.durable(now)
 	refresh := len(k.restricted) > 0 && now.Sub(k.savedAt) >= refreshInterval
-	if !refresh && !k.changed(reports) || k.savesUntil.Sub(now) > (saveBurst-1)*saveInterval {
+	if !refresh && !k.changed(reports) {
 		return nil
 	}
 	data, err := json.Marshal(archivedReports{
@@ -193,21 +186,18 @@
 	return nil
 }
 
+// recordSaved records that the data of the zone at the platform contains the reports.
 func (k *Keeper) recordSaved(reports []messenger.CrashReport) {
 	k.saved, k.restricted = map[savedCrash]bool{}, map[Key]bool{}
-	n := map[Key]int{}
+	crashes := map[Key]int{}
 	for _, r := range reports {
 		k.saved[savedCrash{
 			key:    Key(r.Key),
 			server: r.Server,
 		}] = true
-		n[Key(r.Key)]++
-	}
-	maps.DeleteFunc(n, func(_ Key, crashes int) bool {
-		return crashes < suspectCrashes
-	})
-	for key := range n {
-		k.restricted[key] = true
+		if crashes[Key(r.Key)]++; crashes[Key(r.Key)] >= suspectCrashes {
+			k.restricted[Key(r.Key)] = true
+		}
 	}
 }
 
--- a/internal/isolator/keeper_test.go
+++ b/internal/isolator/keeper_test.go
@@ -87,7 +87,7 @@
 	}
 	switch words[1] {
 	case "keep":
-		s.keeper.run(context.Background(), now)
+		s.keeper.keepIfReader(context.Background(), now)
 	case "crash":
 		s.isolator.RecordCrash(Crash{
 			Subject: subject(),
