--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -85,12 +85,12 @@
 	}
 	if b == crashes && string(r.Body) == poison {
 		f.poisons++
-	}
-	if b == crashes && string(r.Body) == poison && f.troubled != "" && f.poisons%3 == 0 {
-		b = f.troubled
-	} else if b == crashes && string(r.Body) == poison {
-		f.crashed[e.Address] = true
-		b = resets
+		if f.troubled != "" && f.poisons%3 == 0 {
+			b = f.troubled
+		} else {
+			f.crashed[e.Address] = true
+			b = resets
+		}
 	}
 	f.sent[e.ID]++
 	if b != sheds && b != pauses && b != refusesConnection {
