Tell other zones of crashes once, and everything every 5 s

The reports between zones crossed regions every 0.5 s for as long as a request was a suspect, and for 5 s after each crash, although each exchange is acknowledged.

Change: an exchange has what has changed since the last one that the zone acknowledged, and all reports every 5 s, for VMs that missed some. Only these are answered with the reports of the receiver. Crashes are told by the time at which they became known, which may be seconds after the crash.

--- a/internal/isolator/exchanger.go
+++ b/internal/isolator/exchanger.go
@@ -18,7 +18,9 @@
 	// exchangeInterval is the time between two exchanges of the readers of the zones. Within a zone, reports go with the requests for
 	// updates. A report reaches all VMs within three exchanges.
 	exchangeInterval = 500 * time.Millisecond
-	exchangeTimeout  = 700 * time.Millisecond
+	// fullInterval is the time between two exchanges with a zone that contain what has not changed. Bytes between regions are expensive.
+	fullInterval    = 5 * time.Second
+	exchangeTimeout = 700 * time.Millisecond
 	// cutOffFailures is the number of failed exchanges in sequence from which a zone counts as cut off. The first two go to different VMs.
 	cutOffFailures = 2
 )
@@ -47,10 +49,14 @@
 	// failed counts the failed exchanges with each zone in sequence. After a failure the next exchange goes to another VM of the zone.
 	// Only the goroutine of Run uses it.
 	failed map[string]int
-	// toldAt contains the times of the last exchange with each zone. Only the goroutine of Run uses it.
+	// toldAt contains the times of the last exchange with each zone, and fullAt those of the last one with all reports. Only the goroutine
+	// of Run uses them.
 	toldAt map[string]time.Time
-	// ownTold is the value of OwnRestrictions that the reader of the zone was last told of. Only the goroutine of Run uses it.
-	ownTold uint64
+	fullAt map[string]time.Time
+	// ownTold is the value of OwnRestrictions that the reader of the zone was last told of, at the time readerToldAt if it replied. Only the
+	// goroutine of Run uses them.
+	ownTold      uint64
+	readerToldAt time.Time
 	// cutOff is the result of IsCutOff.
 	cutOff atomic.Bool
 }
@@ -61,6 +67,7 @@
 		o:      o,
 		failed: map[string]int{},
 		toldAt: map[string]time.Time{},
+		fullAt: map[string]time.Time{},
 	}
 }
 
@@ -94,10 +101,12 @@
 	z := &peerExchange{
 		exchanger: x,
 		vm:        vms[n],
-		reports:   x.o.Isolator.Reports(now, now),
+		reports:   x.o.Isolator.News(x.readerToldAt, now),
 	}
 	z.run(ctx)
-	if z.err != nil {
+	if z.err == nil {
+		x.readerToldAt = now
+	} else {
 		x.o.Log.Info().Str("VM", name).Err(z.err).Msg("The reader of the zone did not reply to an exchange of crash reports.")
 	}
 }
@@ -112,7 +121,9 @@
 	exchanger *Exchanger
 	vm        blackboard.VM
 	reports   []messenger.CrashReport
-	err       error
+	// full is set if the reports are all that the VM should know, not only the news.
+	full bool
+	err  error
 }
 
 func (z *peerExchange) run(ctx context.Context) {
@@ -122,6 +133,7 @@
 	var reply messenger.CrashesReply
 	z.err = o.Client.Call(call, z.vm.Address, messenger.MethodCrashes, messenger.CrashesRequest{
 		Reports: z.reports,
+		Full:    z.full,
 	}, &reply)
 	if z.err == nil {
 		o.Isolator.Merge(reply.Reports, o.Timer.Now())
@@ -137,7 +149,8 @@
 			continue
 		}
 		readers := x.o.Readers(vm.Zone)
-		reports := x.o.Isolator.Reports(x.toldAt[vm.Zone], now)
+		full := now.Sub(x.fullAt[vm.Zone]) >= fullInterval
+		reports := x.reports(vm.Zone, full, now)
 		if len(readers) == 0 || len(reports) == 0 {
 			continue
 		}
@@ -145,6 +158,7 @@
 			exchanger: x,
 			vm:        readers[x.failed[vm.Zone]%len(readers)],
 			reports:   reports,
+			full:      full,
 		}
 		zones[vm.Zone] = z
 		wg.Go(func() {
@@ -157,6 +171,9 @@
 		if z.err == nil {
 			x.failed[zone] = 0
 			x.toldAt[zone] = now
+			if z.full {
+				x.fullAt[zone] = now
+			}
 			continue
 		}
 		x.failed[zone]++
@@ -166,17 +183,28 @@
 	return reachesAll
 }
 
+// reports returns what is told to a zone.
+func (x *Exchanger) reports(zone string, full bool, now time.Time) []messenger.CrashReport {
+	if full {
+		return x.o.Isolator.Reports(x.toldAt[zone], now)
+	}
+	return x.o.Isolator.News(x.toldAt[zone], now)
+}
+
 // Server serves the RPC method Exchange to other VMs.
 type Server struct {
 	Exchanger *Exchanger
 }
 
-// Exchange merges the reports of the sender and replies with the reports of this VM.
+// Exchange merges the reports of the sender. If these are not only news, it replies with the reports of this VM, which the sender may not be able
+// to reach.
 func (s *Server) Exchange(req messenger.CrashesRequest, reply *messenger.CrashesReply) (err error) {
 	defer messenger.RecoverCall(&err)
 	o := s.Exchanger.o
 	now := o.Timer.Now()
-	reply.Reports = o.Isolator.Reports(now, now)
+	if req.Full {
+		reply.Reports = o.Isolator.Reports(now, now)
+	}
 	o.Isolator.Merge(req.Reports, now)
 	return nil
 }
--- a/internal/isolator/report.go
+++ b/internal/isolator/report.go
@@ -16,6 +16,8 @@
 	// reportDelay is the time before a crash is reported. Most requests that ran at a crash are answered by another server within
 	// that time, which shows that they did not cause it.
 	reportDelay = 300 * time.Millisecond
+	// newsMargin covers the time between the choice of what a VM is told and the time that is recorded for it.
+	newsMargin = 50 * time.Millisecond
 	// recentLifetime is how long the reports for VMs that were told recently are used again, unless a restriction changes meanwhile.
 	recentLifetime = 250 * time.Millisecond
 	// newsTime is how long a change of a restriction is reported before all others. It covers several exchanges.
@@ -48,7 +50,27 @@
 	return i.recent
 }
 
-// reports returns what a VM should know that was told of the crashes before since. The caller must hold i.mu.
+// News returns what has changed since a VM was told of everything before the time lastTold, the zero time if it never was. The result must not
+// be modified.
+func (i *Isolator) News(lastTold, now time.Time) []messenger.CrashReport {
+	if !i.Active() {
+		return nil
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	// Changes that were too recent to be told then are included.
+	since := lastTold.Add(-reportDelay - newsMargin)
+	var news []messenger.CrashReport
+	for k, e := range i.entries {
+		if !e.anyService && !e.changedAt.Before(since) {
+			news = append(news, e.reports(k, since, now)...)
+		}
+	}
+	sortReports(news)
+	return news[:min(len(news), maxReported)]
+}
+
+// reports returns what a VM should know that was told of the crashes that were known before since. The caller must hold i.mu.
 func (i *Isolator) reports(since, now time.Time) []messenger.CrashReport {
 	var news, singles []messenger.CrashReport
 	others := map[Key][]messenger.CrashReport{}
@@ -146,12 +168,12 @@
 	}
 }
 
-// reports returns the reports about an entry. Crashes that restrict nothing are left out if they are older than since.
+// reports returns the reports about an entry. Crashes that restrict nothing are left out if they were known before since.
 func (e *entry) reports(k Key, since, now time.Time) []messenger.CrashReport {
 	var reports []messenger.CrashReport
 	_, free := e.admission(now).(Free)
 	for _, c := range e.crashes {
-		if free && (now.Sub(c.At) < reportDelay || c.At.Before(since)) {
+		if free && (now.Sub(c.At) < reportDelay || e.changedAt.Before(since)) {
 			continue
 		}
 		reports = append(reports, c.report(k, now))
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -485,13 +485,14 @@
 	Age time.Duration `json:"-"`
 }
 
-// CrashesRequest contains the sender's reports and asks for those of another VM.
+// CrashesRequest contains the sender's reports. If Full is set, it asks for those of the receiver.
 type CrashesRequest struct {
 	Stamp   recorder.Stamp
 	Reports []CrashReport
+	Full    bool
 }
 
-// CrashesReply contains the reports of the replying VM.
+// CrashesReply contains the reports of the replying VM if they were asked for.
 type CrashesReply struct {
 	Stamp   recorder.Stamp
 	Reports []CrashReport
