Let news and rare messages between zones reach all isolated requests

Change: all messages choose by the same rules, restrictions first, and take turns by the time between two messages.

--- a/internal/isolator/exchanger.go
+++ b/internal/isolator/exchanger.go
@@ -186,7 +186,7 @@
 // reports returns what is told to a zone.
 func (x *Exchanger) reports(zone string, full bool, now time.Time) []messenger.CrashReport {
 	if full {
-		return x.o.Isolator.Reports(x.toldAt[zone], now)
+		return x.o.Isolator.RareReports(x.toldAt[zone], fullInterval, now)
 	}
 	return x.o.Isolator.News(x.toldAt[zone], now)
 }
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -180,3 +180,40 @@
 		assert.Equal(t, admitted[n], 2)
 	}
 }
+
+// Requests are isolated while hundreds of others run at crashes. Guards against news that are cut off where the harmless crashes end, and against
+// isolated requests that are never in a message that goes out every 5 s only (issue 43).
+func TestZonesHearOfIsolatedRequests(t *testing.T) {
+	const isolated = 80
+	for _, told := range []string{"news", "rare"} {
+		own, other := isolator.New(nil, zerolog.Nop()), isolator.New(nil, zerolog.Nop())
+		now := start
+		record := func(request, server int) {
+			own.RecordCrash(isolator.Crash{
+				Subject: isolator.NewSubject("1", uint64(request)),
+				Server:  uint64(server),
+				Began:   now.Add(-time.Millisecond),
+				At:      now,
+			}, now)
+		}
+		for n := range isolated {
+			for c := range 3 {
+				now = now.Add(time.Second)
+				record(n, 3*n+c)
+			}
+			for c := range 300 {
+				record(1000+300*n+c, 100000+300*n+c)
+			}
+			if told == "news" {
+				other.Merge(own.News(now.Add(-time.Second), now.Add(400*time.Millisecond)), now)
+			}
+		}
+		for range 20 {
+			now = now.Add(5 * time.Second)
+			if told == "rare" {
+				other.Merge(own.RareReports(now.Add(-500*time.Millisecond), 5*time.Second, now), now)
+			}
+		}
+		assert.Equal(t, other.Isolated(), isolated, told)
+	}
+}
--- a/internal/isolator/report.go
+++ b/internal/isolator/report.go
@@ -42,16 +42,35 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !lastTold.IsZero() && now.Sub(lastTold) > reportLifetime {
-		return i.reports(lastTold.Add(-reportLifetime), now)
+		return i.choose(choice{
+			since: lastTold.Add(-reportLifetime),
+			turn:  turnTime,
+		}, now)
 	}
 	if age := now.Sub(i.recentAt); i.recent == nil || age < 0 || age >= recentLifetime {
-		i.recent, i.recentAt = i.reports(now.Add(-reportLifetime), now), now
+		i.recentAt = now
+		i.recent = i.choose(choice{
+			since: now.Add(-reportLifetime),
+			turn:  turnTime,
+		}, now)
 	}
 	return i.recent
 }
 
-// News returns what has changed since a VM was told of everything before the time lastTold, the zero time if it never was. The result must not
-// be modified.
+// RareReports is like Reports for a VM that is told everything once in each interval only.
+func (i *Isolator) RareReports(lastTold time.Time, interval time.Duration, now time.Time) []messenger.CrashReport {
+	if !i.Active() {
+		return nil
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.choose(choice{
+		since: lastTold.Add(-reportLifetime),
+		turn:  interval,
+	}, now)
+}
+
+// News returns what has changed since a VM was told of everything before the time lastTold, the zero time if it never was.
 func (i *Isolator) News(lastTold, now time.Time) []messenger.CrashReport {
 	if !i.Active() {
 		return nil
@@ -60,25 +79,32 @@
 	defer i.mu.Unlock()
 	// Changes that were too recent to be told then are included.
 	since := lastTold.Add(-reportDelay - newsMargin)
-	var news []messenger.CrashReport
-	for k, e := range i.entries {
-		if !e.anyService && !e.changedAt.Before(since) {
-			news = append(news, e.reports(k, since, now)...)
-		}
-	}
-	sortReports(news)
-	return news[:min(len(news), maxReported)]
+	return i.choose(choice{
+		since:        since,
+		changedSince: since,
+		turn:         turnTime,
+	}, now)
+}
+
+// choice determines which reports go into a message.
+type choice struct {
+	// since is the time before which the receiver has been told of crashes that restrict nothing.
+	since time.Time
+	// changedSince leaves out what has not changed since then.
+	changedSince time.Time
+	// turn is the time between two messages to the receiver.
+	turn time.Duration
 }
 
-// reports returns what a VM should know that was told of the crashes that were known before since. The caller must hold i.mu.
-func (i *Isolator) reports(since, now time.Time) []messenger.CrashReport {
+// choose returns up to maxReported reports. The caller must hold i.mu.
+func (i *Isolator) choose(c choice, now time.Time) []messenger.CrashReport {
 	var news, singles []messenger.CrashReport
 	others := map[Key][]messenger.CrashReport{}
 	for k, e := range i.entries {
-		if e.anyService {
+		if e.anyService || e.changedAt.Before(c.changedSince) {
 			continue
 		}
-		reports := e.reports(k, since, now)
+		reports := e.reports(k, c.since, now)
 		switch _, free := e.admission(now).(Free); {
 		case free && len(e.crashes) > 0:
 			singles = append(singles, reports...)
@@ -90,7 +116,7 @@
 	}
 	sortReports(news)
 	sortReports(singles)
-	old := inTurn(others, now)
+	old := inTurn(others, int(now.UnixNano()/int64(c.turn)))
 	reserved := min(len(old), reservedReports)
 	first := min(len(news), maxReported-reserved)
 	all := slices.Concat(news[:first], old[:reserved], news[first:], singles, old[reserved:])
@@ -98,7 +124,7 @@
 }
 
 // inTurn returns the reports in an order that begins with those whose turn it is. A turn has reservedReports.
-func inTurn(byKey map[Key][]messenger.CrashReport, now time.Time) []messenger.CrashReport {
+func inTurn(byKey map[Key][]messenger.CrashReport, turn int) []messenger.CrashReport {
 	var all []messenger.CrashReport
 	for _, k := range slices.Sorted(maps.Keys(byKey)) {
 		all = append(all, byKey[k]...)
@@ -106,8 +132,7 @@
 	if len(all) == 0 {
 		return nil
 	}
-	turn := now.UnixNano() / int64(turnTime)
-	first := int(turn * reservedReports % int64(len(all)))
+	first := turn * reservedReports % len(all)
 	return slices.Concat(all[first:], all[:first])
 }
 
